Serve one request from end to end, thin, in separate processes

Cause: the whole path has to stand before its parts are deepened. Change: entry, sidecar, submit, stand-ins for platform, engine and plain service; the same roles in one process on an in-memory network under a paused clock. Ruled out: the object API's own client library (memory of a sidecar); a reverse proxy from the standard library (none may be used). Conclusion: thin.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,16 @@
 	go vet ./...
 
 unit:
-	go test -race -timeout 20m ./...
+	test/unit.sh
+
+# The failure proofs alone, one line each.
+proofs:
+	test/proofs.sh
+
+# The whole path as separate processes on loopback.
+run-local: build
+	test/run-local.sh riga
+	test/run-local.sh dakar
 
 # The build needs no generator; this is for changes of the schema only.
 generate:
--- /dev/null
+++ b/internal/command/mttable/table.go
@@ -0,0 +1,66 @@
+// Package mttable is the command line: a table of commands as data.
+package mttable
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+)
+
+// action carries a command out once its flags are parsed.
+type action func(ctx context.Context, out io.Writer) error
+
+// command is one row of the table. bind declares the flags and returns what
+// the command does with them.
+type command struct {
+	name string
+	help string
+	bind func(*kingpin.CmdClause) action
+}
+
+// table is every command in the order of the help text.
+var table = []command{
+	{"entry", "Run an entry: take callers' requests behind the balancer.", bindEntry},
+	{"sidecar", "Run a sidecar beside a target.", bindSidecar},
+	{"submit", "Put a base file or overlays in force everywhere.", bindSubmit},
+}
+
+// Run parses the arguments and runs one command. It returns the exit code: 0,
+// 1 where the command failed, 2 where the arguments are wrong.
+func Run(args []string) int {
+	app := kingpin.New("mustardtide", "A router for language-model traffic with long shared prompts.")
+	app.HelpFlag.Short('h')
+	app.Terminate(nil)
+	actions := map[string]action{}
+	for _, c := range table {
+		actions[c.name] = c.bind(app.Command(c.name, c.help))
+	}
+	chosen, err := app.Parse(args)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "mustardtide: %v\nRun `mustardtide help` for the commands and their flags.\n", err)
+		return 2
+	}
+	run, ok := actions[chosen]
+	if !ok {
+		return 0
+	}
+	if err := run(context.Background(), os.Stdout); err != nil {
+		report(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+// report prints an error for a person: the message without the trace.
+func report(w io.Writer, err error) {
+	var wrapped trace.Error
+	if errors.As(err, &wrapped) {
+		err = wrapped.OrigError()
+	}
+	fmt.Fprintf(w, "mustardtide: %v\n", err)
+}
--- /dev/null
+++ b/internal/prefix/mtview/view.go
@@ -0,0 +1,86 @@
+// Package mtview is what a sidecar knows of its target's prefix cache.
+package mtview
+
+import (
+	"sync"
+
+	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
+)
+
+// View holds the marks cached by one incarnation of a target. It is safe for
+// concurrent use.
+type View struct {
+	mu          sync.RWMutex
+	incarnation string
+	marks       map[[mtchain.MarkSize]byte]struct{}
+}
+
+// New returns an empty view of no incarnation.
+func New() *View {
+	return &View{marks: map[[mtchain.MarkSize]byte]struct{}{}}
+}
+
+// Start empties the view for a new incarnation: the cache of a target that
+// died is gone, and an entry left over would promise work that must be done
+// again. It reports whether the incarnation is new.
+func (v *View) Start(incarnation string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.incarnation == incarnation {
+		return false
+	}
+	v.incarnation = incarnation
+	clear(v.marks)
+	return true
+}
+
+// Incarnation is the one that the view speaks of; empty before the first.
+func (v *View) Incarnation() string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.incarnation
+}
+
+// Void empties the view after a gap in the events: what the gap removed is not
+// known.
+func (v *View) Void() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	clear(v.marks)
+}
+
+// Store adds a mark that the given incarnation cached; one of an earlier
+// incarnation is dropped.
+func (v *View) Store(incarnation string, mark [mtchain.MarkSize]byte) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if incarnation == v.incarnation {
+		v.marks[mark] = struct{}{}
+	}
+}
+
+// Remove takes a mark away.
+func (v *View) Remove(mark [mtchain.MarkSize]byte) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.marks, mark)
+}
+
+// Match counts the leading marks of a chain that the target has cached.
+func (v *View) Match(chain mtchain.Chain) int {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	for i := range chain.Len() {
+		if _, held := v.marks[chain.At(i)]; !held {
+			return i
+		}
+	}
+	return chain.Len()
+}
+
+// Len is the number of marks held.
+func (v *View) Len() int {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return len(v.marks)
+}
--- /dev/null
+++ b/internal/request/mtbuffer/buffer.go
@@ -0,0 +1,138 @@
+// Package mtbuffer keeps the unacknowledged part of a run's answer, so that it
+// can be sent again over a new connection.
+package mtbuffer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/gravitational/trace"
+
+	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+)
+
+// segment is one written piece; pieces are never split or joined, so that a
+// reader sees whole server-sent events.
+type segment struct {
+	offset uint64
+	data   []byte
+}
+
+// Buffer has one writer, the target's answer, and readers that may come and
+// go. Its memory is bounded: a writer waits while the unacknowledged part is
+// at the limit.
+type Buffer struct {
+	limit int
+
+	mu       sync.Mutex
+	segments []segment
+	size     int
+	end      uint64
+	base     uint64
+	head     *mustardtidev1.Head
+	finish   *mustardtidev1.Finish
+	wake     chan struct{}
+}
+
+// New returns an empty buffer for at most limit unacknowledged bytes.
+func New(limit int) *Buffer {
+	return &Buffer{limit: limit, wake: make(chan struct{})}
+}
+
+// Start sets the head that precedes the payload.
+func (b *Buffer) Start(head *mustardtidev1.Head) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.head = head
+	b.stir()
+}
+
+// Write appends one piece; it waits for room until ctx ends.
+func (b *Buffer) Write(ctx context.Context, data []byte) error {
+	for {
+		wake, ok := b.tryWrite(data)
+		if ok {
+			return nil
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		}
+	}
+}
+
+// Finish marks the answer's end; the first call wins.
+func (b *Buffer) Finish(finish *mustardtidev1.Finish) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.finish != nil {
+		return
+	}
+	b.finish = finish
+	b.stir()
+}
+
+// Ack drops the pieces that end at or below offset.
+func (b *Buffer) Ack(offset uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for len(b.segments) > 0 && b.segments[0].end() <= offset {
+		b.size -= len(b.segments[0].data)
+		b.base = b.segments[0].end()
+		b.segments = b.segments[1:]
+	}
+	b.stir()
+}
+
+// Next returns the piece at offset, or the finish where the answer ends there,
+// or neither and a channel that closes at the next change. It fails where the
+// piece is no longer kept.
+func (b *Buffer) Next(offset uint64) ([]byte, *mustardtidev1.Finish, <-chan struct{}, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if offset < b.base || offset > b.end {
+		return nil, nil, nil, trace.NotFound("offset %d is outside %d to %d", offset, b.base, b.end)
+	}
+	for _, s := range b.segments {
+		if s.end() > offset {
+			return s.data[offset-s.offset:], nil, b.wake, nil
+		}
+	}
+	return nil, b.finish, b.wake, nil
+}
+
+// Head returns the head, or nil and a channel that closes at the next change.
+func (b *Buffer) Head() (*mustardtidev1.Head, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.head, b.wake
+}
+
+// End returns the finish, or nil while the answer goes on.
+func (b *Buffer) End() *mustardtidev1.Finish {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.finish
+}
+
+func (b *Buffer) tryWrite(data []byte) (<-chan struct{}, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.size > 0 && b.size+len(data) > b.limit {
+		return b.wake, false
+	}
+	b.segments = append(b.segments, segment{offset: b.end, data: data})
+	b.size += len(data)
+	b.end += uint64(len(data))
+	b.stir()
+	return nil, true
+}
+
+// stir wakes whoever waits for a change. The lock is held.
+func (b *Buffer) stir() {
+	close(b.wake)
+	b.wake = make(chan struct{})
+}
+
+func (s segment) end() uint64 { return s.offset + uint64(len(s.data)) }
--- /dev/null
+++ b/internal/role/mtcontrol/control.go
@@ -0,0 +1,81 @@
+// Package mtcontrol is the control service that every daemon answers: settings
+// for peers, status, drain and events for operators.
+package mtcontrol
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/internal/members/mtlist"
+	"github.com/mustardtide/mustardtide/internal/observe/mtevent"
+	"github.com/mustardtide/mustardtide/internal/settings/mtspread"
+)
+
+// Control implements the generated ControlServiceHandler.
+type Control struct {
+	log    *mtevent.Log
+	spread *mtspread.Spread
+	list   *mtlist.List
+	status func() *mustardtidev1.StatusReply
+	drain  func() uint32
+}
+
+// New returns the control service of one process. status describes it; drain
+// starts its graceful stop and returns the requests still under way.
+func New(log *mtevent.Log, spread *mtspread.Spread, list *mtlist.List, status func() *mustardtidev1.StatusReply, drain func() uint32) *Control {
+	return &Control{log: log, spread: spread, list: list, status: status, drain: drain}
+}
+
+// Peer is what every message of this process carries.
+func (c *Control) Peer() *mustardtidev1.Peer {
+	return &mustardtidev1.Peer{
+		Stamp:    c.log.Clock().Now(),
+		Revision: c.spread.Snapshot().Revision(),
+		Source:   c.log.Source(),
+	}
+}
+
+// Pull gives the settings in force and the last known list of instances.
+func (c *Control) Pull(_ context.Context, ask *connect.Request[mustardtidev1.PullRequest]) (*connect.Response[mustardtidev1.PullReply], error) {
+	c.log.Clock().See(ask.Msg.GetPeer().GetStamp())
+	reply := &mustardtidev1.PullReply{Peer: c.Peer(), Members: c.list.All()}
+	manifest := c.spread.Manifest()
+	if manifest.Revision() <= ask.Msg.GetPeer().GetRevision() {
+		return connect.NewResponse(reply), nil
+	}
+	reply.Manifest = manifest.Head()
+	have := map[string]bool{}
+	for _, digest := range ask.Msg.GetHave() {
+		have[digest] = true
+	}
+	for _, file := range manifest.Head().GetFiles() {
+		if !have[file.GetDigest()] {
+			reply.Chunks = append(reply.Chunks, &mustardtidev1.Chunk{Digest: file.GetDigest(), Text: manifest.Chunk(file.GetDigest())})
+		}
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// Status describes the process.
+func (c *Control) Status(_ context.Context, ask *connect.Request[mustardtidev1.StatusRequest]) (*connect.Response[mustardtidev1.StatusReply], error) {
+	c.log.Clock().See(ask.Msg.GetPeer().GetStamp())
+	reply := c.status()
+	reply.Peer = c.Peer()
+	reply.Members = c.list.All()
+	return connect.NewResponse(reply), nil
+}
+
+// Drain starts the process's graceful stop.
+func (c *Control) Drain(_ context.Context, ask *connect.Request[mustardtidev1.DrainRequest]) (*connect.Response[mustardtidev1.DrainReply], error) {
+	c.log.Clock().See(ask.Msg.GetPeer().GetStamp())
+	return connect.NewResponse(&mustardtidev1.DrainReply{Peer: c.Peer(), Running: c.drain()}), nil
+}
+
+// Events gives the process's share of the timeline.
+func (c *Control) Events(_ context.Context, ask *connect.Request[mustardtidev1.EventsRequest]) (*connect.Response[mustardtidev1.EventsReply], error) {
+	c.log.Clock().See(ask.Msg.GetPeer().GetStamp())
+	events, dropped := c.log.Events(ask.Msg)
+	return connect.NewResponse(&mustardtidev1.EventsReply{Peer: c.Peer(), Events: events, Dropped: dropped}), nil
+}
--- /dev/null
+++ b/internal/role/mtentry/entry.go
@@ -0,0 +1,136 @@
+// Package mtentry assembles the process behind the platform's balancer: the
+// authority for callers' identity, choice of target, retries and refusals.
+package mtentry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/gen/mustardtide/v1/mustardtidev1connect"
+	"github.com/mustardtide/mustardtide/internal/members/mtlist"
+	"github.com/mustardtide/mustardtide/internal/observe/mtevent"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/outside/mtplatform"
+	"github.com/mustardtide/mustardtide/internal/role/mtcontrol"
+	"github.com/mustardtide/mustardtide/internal/role/mtnet"
+	"github.com/mustardtide/mustardtide/internal/role/mtserver"
+	"github.com/mustardtide/mustardtide/internal/settings/mtspread"
+)
+
+// drainPoll is how often a drain looks whether the requests have ended.
+const drainPoll = 50 * time.Millisecond
+
+// Entry takes callers' requests and finds a target for each.
+type Entry struct {
+	process  *mustardtidev1.Process
+	net      *mtnet.Net
+	log      *mtevent.Log
+	spread   *mtspread.Spread
+	list     *mtlist.List
+	control  *mtcontrol.Control
+	clients  *clients
+	started  time.Time
+	live     atomic.Int64
+	draining atomic.Bool
+	ends     []<-chan error
+}
+
+// New returns an entry with the given process settings.
+func New(process *mustardtidev1.Process, network *mtnet.Net, log *mtevent.Log) *Entry {
+	e := &Entry{
+		process: process,
+		net:     network,
+		log:     log,
+		spread:  mtspread.New(process.GetDatacentre(), log),
+		list:    mtlist.New(log),
+		clients: newClients(network),
+		started: time.Now(),
+	}
+	e.control = mtcontrol.New(log, e.spread, e.list, e.status, e.drain)
+	return e
+}
+
+// Open listens and starts what runs in the background until ctx ends. The
+// servers it returns, for callers and for the system's own processes, are
+// started by the caller.
+func (e *Entry) Open(ctx context.Context) ([]*mtserver.Server, error) {
+	public, err := e.net.Listen(e.process.GetPublic())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	internal, err := e.net.Listen(e.process.GetInternal())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(mustardtidev1connect.NewControlServiceHandler(e.control))
+	client := mtplatform.New(e.process.GetPlatform(), e.process.GetNamespace(), e.net.Outside())
+	e.ends = append(e.ends, e.spread.Follow(ctx, client), e.list.Follow(ctx, client))
+	e.log.Add(mtkind.EntryStarted, &mustardtidev1.Event{Text: public.Addr().String()})
+	return []*mtserver.Server{
+		mtserver.New(public, nil, e.routes()),
+		mtserver.New(internal, e.net.ServerTLS(), mux),
+	}, nil
+}
+
+// Drain turns the entry unready, waits until the balancer has seen it and
+// returns when the last request has ended or ctx ends.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.drain()
+	if err := pause(ctx, e.process.GetLag().AsDuration()); err != nil {
+		return trace.Wrap(err)
+	}
+	for e.live.Load() > 0 {
+		if err := pause(ctx, drainPoll); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	e.log.Add(mtkind.EntryStopped, &mustardtidev1.Event{})
+	return nil
+}
+
+// Wait returns when everything that Open started has ended.
+func (e *Entry) Wait() error {
+	var errors []error
+	for _, end := range e.ends {
+		errors = append(errors, <-end)
+	}
+	e.clients.close()
+	return trace.NewAggregate(errors...)
+}
+
+func (e *Entry) drain() uint32 {
+	if e.draining.CompareAndSwap(false, true) {
+		e.log.Add(mtkind.EntryDraining, &mustardtidev1.Event{})
+	}
+	return uint32(e.live.Load())
+}
+
+func (e *Entry) ready() bool {
+	return e.spread.Snapshot().Revision() > 0 && !e.draining.Load()
+}
+
+func (e *Entry) status() *mustardtidev1.StatusReply {
+	return &mustardtidev1.StatusReply{
+		Name:       e.process.GetName(),
+		Role:       "entry",
+		Datacentre: e.process.GetDatacentre(),
+		Ready:      e.ready(),
+		Leaving:    e.draining.Load(),
+	}
+}
+
+// pause waits; it fails where ctx ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/role/mtentry/serve.go
@@ -0,0 +1,180 @@
+package mtentry
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/xxh3"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
+	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/outside/mtcaller"
+	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
+	"github.com/mustardtide/mustardtide/internal/settings/mtsnapshot"
+)
+
+const (
+	defaultBody     = 4 << 20
+	defaultDeadline = time.Minute
+	defaultTokens   = 16
+	bytesPerToken   = 4
+)
+
+// task is one caller's request on its way.
+type task struct {
+	work    *mustardtidev1.Work
+	call    *mustardtidev1.Call
+	service *mustardtidev1.Service
+	left    time.Duration
+	stream  bool
+}
+
+// serve answers one caller.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
+	e.live.Add(1)
+	defer e.live.Add(-1)
+	run := newRun()
+	t, refusal := e.accept(w, r, run)
+	if refusal != nil {
+		e.log.Add(mtkind.RequestRefused, &mustardtidev1.Event{Run: run, Text: refusal.Error()})
+		mtcaller.Refuse(w, run, refusal)
+		return
+	}
+	e.note(mtkind.RequestAccepted, t, "")
+	ctx, cancel := context.WithTimeout(r.Context(), t.left)
+	defer cancel()
+	e.answer(ctx, w, t)
+}
+
+// accept reads and checks a request: nothing of it has reached a target.
+func (e *Entry) accept(w http.ResponseWriter, r *http.Request, run string) (*task, *mtrefusal.Refusal) {
+	snapshot := e.spread.Snapshot()
+	account := snapshot.Account(mtcaller.Bearer(r))
+	if account == nil {
+		return nil, mtrefusal.New(mtcode.UnknownKey, "").Finally()
+	}
+	request, err := mtcaller.Read(w, r, defaultBody)
+	if err != nil {
+		return nil, mtrefusal.Find(err)
+	}
+	service, refusal := find(snapshot, request)
+	if refusal != nil {
+		return nil, refusal
+	}
+	rule := snapshot.Rule(account.GetName(), service.GetName())
+	if rule.GetDeny() {
+		return nil, mtrefusal.New(mtcode.Denied, service.GetName()).Finally()
+	}
+	left, err := request.Deadline()
+	if err != nil {
+		return nil, mtrefusal.Find(err)
+	}
+	if left == 0 {
+		left = snapshot.Deadline(account.GetName(), service)
+	}
+	if left == 0 {
+		left = defaultDeadline
+	}
+	return e.task(run, account.GetName(), service, rule, request, left)
+}
+
+func find(snapshot *mtsnapshot.Snapshot, request *mtcaller.Request) (*mustardtidev1.Service, *mtrefusal.Refusal) {
+	if request.Plain() {
+		service := snapshot.Service(request.Name())
+		if service == nil || service.GetKind() != "plain" {
+			return nil, mtrefusal.New(mtcode.UnknownService, request.Name()).Finally()
+		}
+		return service, nil
+	}
+	service := snapshot.Model(request.Name())
+	if service == nil {
+		return nil, mtrefusal.New(mtcode.UnknownModel, request.Name()).Finally()
+	}
+	return service, nil
+}
+
+func (e *Entry) task(run, account string, service *mustardtidev1.Service, rule *mustardtidev1.Rule, request *mtcaller.Request, left time.Duration) (*task, *mtrefusal.Refusal) {
+	if service.GetBody() > 0 && uint64(len(request.Body())) > service.GetBody() {
+		return nil, mtrefusal.New(mtcode.BodyTooLarge, "").Finally()
+	}
+	work := &mustardtidev1.Work{
+		Run:     run,
+		Account: account,
+		Service: service.GetName(),
+		Class:   class(rule),
+		Left:    durationpb.New(left),
+		Print:   fingerprint(account, request),
+	}
+	if service.GetOnce() {
+		if request.Key() == "" {
+			return nil, mtrefusal.New(mtcode.KeyMissing, "").Finally()
+		}
+		work.Key = request.Key()
+	}
+	call := &mustardtidev1.Call{Method: request.Method(), Path: request.Path(), Body: request.Body()}
+	if request.Plain() {
+		call.Headers = headers(request.Header())
+	} else {
+		e.measure(work, service, request)
+	}
+	return &task{work: work, call: call, service: service, left: left, stream: request.Stream()}, nil
+}
+
+// measure fills in what placement and admission need of a model request.
+func (e *Entry) measure(work *mustardtidev1.Work, service *mustardtidev1.Service, request *mtcaller.Request) {
+	work.Salt = salt(work.GetAccount(), service)
+	work.Prompt = uint64(len(request.Prompt()) / bytesPerToken)
+	work.Output = uint64(request.Tokens())
+	if work.GetOutput() == 0 {
+		work.Output = defaultTokens
+	}
+	if service.GetGranule() > 0 && service.GetStride() > 0 {
+		work.Chain = mtchain.New(work.GetSalt(), int(service.GetGranule()), int(service.GetStride()), request.Prompt()).Bytes()
+	}
+}
+
+// salt keeps apart what may not be shared: another account's cache entries,
+// and those of older weights or another adapter.
+func salt(account string, service *mustardtidev1.Service) string {
+	const separator = "\x00"
+	return account + separator + service.GetModel() + separator + service.GetWeights() + separator + service.GetAdapter()
+}
+
+func class(rule *mustardtidev1.Rule) mustardtidev1.Class {
+	if rule.GetClass() == "long" {
+		return mustardtidev1.Class_LONG
+	}
+	return mustardtidev1.Class_SHORT
+}
+
+// fingerprint names account, path and body.
+func fingerprint(account string, request *mtcaller.Request) []byte {
+	h := xxh3.New()
+	_, _ = h.WriteString(account)
+	_, _ = h.WriteString("\x00" + request.Name() + "\x00" + request.Path() + "\x00")
+	_, _ = h.Write(request.Body())
+	sum := h.Sum128().Bytes()
+	return sum[:]
+}
+
+func headers(from http.Header) []*mustardtidev1.Header {
+	var list []*mustardtidev1.Header
+	for name, values := range from {
+		for _, value := range values {
+			list = append(list, &mustardtidev1.Header{Name: name, Value: value})
+		}
+	}
+	return list
+}
+
+// newRun names a request; 26 letters hold 130 random bits.
+func newRun() string { return rand.Text() }
+
+func (e *Entry) note(kind mtkind.Kind, t *task, text string) {
+	e.log.Add(kind, &mustardtidev1.Event{Run: t.work.GetRun(), Account: t.work.GetAccount(), Text: text})
+}
--- /dev/null
+++ b/internal/role/mtnet/net.go
@@ -0,0 +1,96 @@
+// Package mtnet is the network that a role listens and dials on. Tests give
+// roles one in memory, so that the real roles run under a paused clock.
+package mtnet
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Times that bound a connection: a dial to an instance that is gone, and the
+// pings that find a connection which something between has forgotten.
+const (
+	dialTimeout = 2 * time.Second
+	pingEvery   = 2 * time.Second
+	pingTimeout = 3 * time.Second
+	idleTimeout = 90 * time.Second
+	idlePerHost = 64
+)
+
+// Net listens and dials; the zero value is not for use.
+type Net struct {
+	listen func(address string) (net.Listener, error)
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	server *tls.Config
+	client *tls.Config
+}
+
+// System is the instance's own network.
+func System() *Net {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	config := net.ListenConfig{}
+	return &Net{
+		listen: func(address string) (net.Listener, error) {
+			return config.Listen(context.Background(), "tcp", address)
+		},
+		dial: dialer.DialContext,
+	}
+}
+
+// New returns a network of the given functions.
+func New(listen func(string) (net.Listener, error), dial func(context.Context, string, string) (net.Conn, error)) *Net {
+	return &Net{listen: listen, dial: dial}
+}
+
+// Secured returns a copy whose internal connections use the TLS configurations.
+func (n *Net) Secured(server, client *tls.Config) *Net {
+	secured := *n
+	secured.server = server
+	secured.client = client
+	return &secured
+}
+
+// Listen opens a listener.
+func (n *Net) Listen(address string) (net.Listener, error) { return n.listen(address) }
+
+// ServerTLS is the internal listeners' TLS configuration, or nil.
+func (n *Net) ServerTLS() *tls.Config { return n.server }
+
+// Scheme is the URL scheme of the internal listeners.
+func (n *Net) Scheme() string {
+	if n.client != nil {
+		return "https"
+	}
+	return "http"
+}
+
+// Internal returns the transport between the system's processes: HTTP/2, with
+// or without TLS, and pings on idle connections.
+func (n *Net) Internal() *http.Transport {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP2(n.client != nil)
+	protocols.SetUnencryptedHTTP2(n.client == nil)
+	return &http.Transport{
+		DialContext:     n.dial,
+		TLSClientConfig: n.client,
+		Protocols:       protocols,
+		IdleConnTimeout: idleTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingEvery,
+			PingTimeout:     pingTimeout,
+		},
+	}
+}
+
+// Outside returns the transport to targets and the platform: plain HTTP/1.1.
+func (n *Net) Outside() *http.Transport {
+	return &http.Transport{
+		DialContext:         n.dial,
+		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: idlePerHost,
+		DisableCompression:  true,
+	}
+}
--- /dev/null
+++ b/internal/role/mtserver/server.go
@@ -0,0 +1,43 @@
+// Package mtserver is a kratos HTTP server on a role's network.
+package mtserver
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+)
+
+// Bounds of a caller's connection: headers within headerTime and headerBytes.
+const (
+	headerTime  = 10 * time.Second
+	headerBytes = 64 << 10
+	idleTime    = 2 * time.Minute
+)
+
+// Server is kratos' HTTP server with the settings that streams need.
+type Server struct {
+	*khttp.Server
+}
+
+// New returns a server on a listener. kratos cancels a request's context after
+// one second unless its time-out is zero: every stream would be cut.
+func New(listener net.Listener, config *tls.Config, handler http.Handler) *Server {
+	options := []khttp.ServerOption{khttp.Listener(listener), khttp.Timeout(0), khttp.StrictSlash(false)}
+	if config != nil {
+		options = append(options, khttp.TLSConfig(config))
+	}
+	server := khttp.NewServer(options...)
+	server.ReadHeaderTimeout = headerTime
+	server.IdleTimeout = idleTime
+	server.MaxHeaderBytes = headerBytes
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(config != nil)
+	protocols.SetUnencryptedHTTP2(config == nil)
+	server.Protocols = protocols
+	server.HandlePrefix("/", handler)
+	return &Server{Server: server}
+}
--- /dev/null
+++ b/internal/role/mtsidecar/pump.go
@@ -0,0 +1,91 @@
+package mtsidecar
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+)
+
+// pump sends a run's answer from an offset to its end, with heartbeats while
+// there is nothing to send.
+func (s *Sidecar) pump(ctx context.Context, work *mustardtidev1.Work, r *run, offset uint64, stream *connect.ServerStream[mustardtidev1.Frame]) error {
+	beat := time.NewTicker(beatEvery)
+	defer beat.Stop()
+	headed := offset > 0
+	for {
+		frame, wake, err := nextFrame(r, &headed, &offset)
+		if err != nil {
+			return connect.NewError(connect.CodeOutOfRange, err)
+		}
+		if frame != nil {
+			if err := s.send(stream, work, frame.GetOffset(), frame); err != nil {
+				return err
+			}
+			if frame.GetFinish() != nil {
+				return nil
+			}
+			continue
+		}
+		select {
+		case <-wake:
+		case <-beat.C:
+			state := &mustardtidev1.Frame_Beat{Beat: &mustardtidev1.Beat{State: s.state()}}
+			if err := s.send(stream, work, offset, &mustardtidev1.Frame{Step: state}); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// nextFrame returns the next step of the answer, or a channel that closes when
+// there may be one.
+func nextFrame(r *run, headed *bool, offset *uint64) (*mustardtidev1.Frame, <-chan struct{}, error) {
+	if !*headed {
+		head, wake := r.buffer.Head()
+		if head != nil {
+			*headed = true
+			return &mustardtidev1.Frame{Step: &mustardtidev1.Frame_Head{Head: head}}, nil, nil
+		}
+		if finish := r.buffer.End(); finish != nil {
+			return finishFrame(0, finish), nil, nil
+		}
+		return nil, wake, nil
+	}
+	data, finish, wake, err := r.buffer.Next(*offset)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(data) > 0 {
+		at := *offset
+		*offset += uint64(len(data))
+		return &mustardtidev1.Frame{Offset: at, Step: &mustardtidev1.Frame_Data{Data: data}}, nil, nil
+	}
+	if finish != nil {
+		return finishFrame(*offset, finish), nil, nil
+	}
+	return nil, wake, nil
+}
+
+func finishFrame(offset uint64, finish *mustardtidev1.Finish) *mustardtidev1.Frame {
+	return &mustardtidev1.Frame{Offset: offset, Step: &mustardtidev1.Frame_Finish{Finish: finish}}
+}
+
+func (s *Sidecar) send(stream *connect.ServerStream[mustardtidev1.Frame], work *mustardtidev1.Work, offset uint64, frame *mustardtidev1.Frame) error {
+	frame.Run = work.GetRun()
+	frame.Attempt = work.GetAttempt()
+	frame.Offset = offset
+	frame.Peer = s.control.Peer()
+	return stream.Send(frame)
+}
+
+func (s *Sidecar) refuse(work *mustardtidev1.Work, refusal *mtrefusal.Refusal, stream *connect.ServerStream[mustardtidev1.Frame]) error {
+	s.note(mtkind.RunRefused, work, refusal.Error())
+	return s.send(stream, work, 0, finishFrame(0, &mustardtidev1.Finish{Refusal: refusal.Message(), State: s.state()}))
+}
--- /dev/null
+++ b/internal/role/mtsidecar/run.go
@@ -0,0 +1,165 @@
+package mtsidecar
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
+	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
+)
+
+// beatEvery is the time between heartbeats of a quiet stream; an entry takes
+// three missed ones for a silent connection.
+const beatEvery = time.Second
+
+// Offer says what this target would make of a request.
+func (s *Sidecar) Offer(_ context.Context, ask *connect.Request[mustardtidev1.OfferRequest]) (*connect.Response[mustardtidev1.OfferReply], error) {
+	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
+	reply := &mustardtidev1.OfferReply{Peer: s.control.Peer(), State: s.state(), Matched: s.matched(ask.Msg.GetWork())}
+	if refusal := s.unfit(); refusal != nil {
+		reply.Refusal = refusal.Message()
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// Run takes a request and streams its answer.
+func (s *Sidecar) Run(ctx context.Context, ask *connect.Request[mustardtidev1.RunRequest], stream *connect.ServerStream[mustardtidev1.Frame]) error {
+	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
+	work := ask.Msg.GetWork()
+	if refusal := s.unfit(); refusal != nil {
+		return s.refuse(work, refusal, stream)
+	}
+	started := s.start(ask.Msg)
+	begin := &mustardtidev1.Frame_Begin{Begin: &mustardtidev1.Begin{State: s.state(), Matched: s.matched(work)}}
+	if err := s.send(stream, work, 0, &mustardtidev1.Frame{Step: begin}); err != nil {
+		return err
+	}
+	return s.pump(ctx, work, started, 0, stream)
+}
+
+// Resume streams a run's answer from an offset over a new connection.
+func (s *Sidecar) Resume(ctx context.Context, ask *connect.Request[mustardtidev1.ResumeRequest], stream *connect.ServerStream[mustardtidev1.Frame]) error {
+	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
+	work := &mustardtidev1.Work{Run: ask.Msg.GetRun(), Attempt: ask.Msg.GetAttempt()}
+	known := s.runs.find(runKey{run: work.GetRun(), attempt: work.GetAttempt()})
+	if known == nil {
+		refusal := mtrefusal.New(mtcode.RunUnknown, "").Having(mustardtidev1.Ran_UNKNOWN)
+		return s.refuse(work, refusal, stream)
+	}
+	return s.pump(ctx, work, known, ask.Msg.GetOffset(), stream)
+}
+
+// Ack drops what the entry has.
+func (s *Sidecar) Ack(_ context.Context, ask *connect.Request[mustardtidev1.AckRequest]) (*connect.Response[mustardtidev1.AckReply], error) {
+	if known := s.runs.find(runKey{run: ask.Msg.GetRun(), attempt: ask.Msg.GetAttempt()}); known != nil {
+		known.buffer.Ack(ask.Msg.GetOffset())
+	}
+	return connect.NewResponse(&mustardtidev1.AckReply{Peer: s.control.Peer()}), nil
+}
+
+// Cancel ends a run whose caller is gone.
+func (s *Sidecar) Cancel(_ context.Context, ask *connect.Request[mustardtidev1.CancelRequest]) (*connect.Response[mustardtidev1.CancelReply], error) {
+	if known := s.runs.find(runKey{run: ask.Msg.GetRun(), attempt: ask.Msg.GetAttempt()}); known != nil {
+		known.cancel()
+		s.log.Add(mtkind.RunCancelled, &mustardtidev1.Event{Run: ask.Msg.GetRun(), Target: s.process.GetName()})
+	}
+	return connect.NewResponse(&mustardtidev1.CancelReply{Peer: s.control.Peer(), Ran: mustardtidev1.Ran_UNKNOWN}), nil
+}
+
+// Claim is answered by the claims' home; this version has none.
+func (s *Sidecar) Claim(context.Context, *connect.Request[mustardtidev1.ClaimRequest]) (*connect.Response[mustardtidev1.ClaimReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("no claims yet"))
+}
+
+// unfit says why no new work is taken now, or nil.
+func (s *Sidecar) unfit() *mtrefusal.Refusal {
+	switch {
+	case s.leaving.Load():
+		return mtrefusal.New(mtcode.Leaving, s.process.GetName())
+	case s.service() == nil:
+		return mtrefusal.New(mtcode.SettingsMissing, s.process.GetName())
+	case !s.up.Load():
+		return mtrefusal.New(mtcode.NoTarget, s.process.GetName()+" is not up")
+	default:
+		return nil
+	}
+}
+
+// start begins an attempt in the background: it outlives the connection that
+// asked for it. An attempt that is known already is not begun again.
+func (s *Sidecar) start(ask *mustardtidev1.RunRequest) *run {
+	work := ask.GetWork()
+	key := runKey{run: work.GetRun(), attempt: work.GetAttempt()}
+	ctx, cancel := context.WithTimeout(context.Background(), work.GetLeft().AsDuration())
+	started, fresh := s.runs.add(key, cancel)
+	if !fresh {
+		cancel()
+		return started
+	}
+	go func() {
+		defer s.runs.end(key)
+		defer cancel()
+		started.buffer.Finish(s.execute(ctx, ask, started))
+	}()
+	return started
+}
+
+// execute waits for a slot and runs the request on the target.
+func (s *Sidecar) execute(ctx context.Context, ask *mustardtidev1.RunRequest, started *run) *mustardtidev1.Finish {
+	work := ask.GetWork()
+	if err := s.admit.enter(ctx); err != nil {
+		return &mustardtidev1.Finish{Refusal: mtrefusal.New(mtcode.DeadlineTooNear, "").Message()}
+	}
+	defer s.admit.leave()
+	s.note(mtkind.RunBegan, work, "")
+	emit := func(f *mustardtidev1.Frame) error { return started.take(ctx, f) }
+	finish, err := call(ctx, s.program(s.service()), work, ask.GetCall(), emit)
+	if err != nil {
+		s.note(mtkind.RunFailed, work, err.Error())
+		return &mustardtidev1.Finish{Refusal: s.failure(ctx, err).Message()}
+	}
+	s.note(mtkind.RunFinished, work, "")
+	return finish
+}
+
+func (s *Sidecar) failure(ctx context.Context, err error) *mtrefusal.Refusal {
+	if ctx.Err() != nil {
+		return mtrefusal.New(mtcode.DeadlinePassed, "").Having(mustardtidev1.Ran_YES)
+	}
+	return mtrefusal.New(mtcode.TargetDied, err.Error()).Having(mustardtidev1.Ran_UNKNOWN)
+}
+
+// take puts a target's step into the run's buffer.
+func (r *run) take(ctx context.Context, f *mustardtidev1.Frame) error {
+	switch step := f.GetStep().(type) {
+	case *mustardtidev1.Frame_Head:
+		r.buffer.Start(step.Head)
+	case *mustardtidev1.Frame_Data:
+		return r.buffer.Write(ctx, step.Data)
+	}
+	return nil
+}
+
+func (s *Sidecar) matched(work *mustardtidev1.Work) uint64 {
+	service := s.service()
+	if service == nil || len(work.GetChain()) == 0 {
+		return 0
+	}
+	span := int(service.GetGranule() * service.GetStride())
+	chain := mtchain.From(work.GetChain(), span)
+	return uint64(s.view.Match(chain) * span / bytesPerToken)
+}
+
+// bytesPerToken turns bytes of prompt into tokens where the engine has not
+// counted them yet.
+const bytesPerToken = 4
+
+func (s *Sidecar) note(kind mtkind.Kind, work *mustardtidev1.Work, text string) {
+	s.log.Add(kind, &mustardtidev1.Event{Run: work.GetRun(), Account: work.GetAccount(), Target: s.process.GetName(), Text: text})
+}
--- /dev/null
+++ b/internal/role/mtsidecar/sidecar.go
@@ -0,0 +1,143 @@
+// Package mtsidecar assembles the process beside a target: the authority for
+// the target's admission, runs, cache view, incarnation and leaving.
+package mtsidecar
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/gen/mustardtide/v1/mustardtidev1connect"
+	"github.com/mustardtide/mustardtide/internal/members/mtlist"
+	"github.com/mustardtide/mustardtide/internal/observe/mtevent"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/outside/mtplatform"
+	"github.com/mustardtide/mustardtide/internal/prefix/mtview"
+	"github.com/mustardtide/mustardtide/internal/role/mtcontrol"
+	"github.com/mustardtide/mustardtide/internal/role/mtnet"
+	"github.com/mustardtide/mustardtide/internal/role/mtserver"
+	"github.com/mustardtide/mustardtide/internal/settings/mtspread"
+)
+
+// drainPoll is how often a drain looks whether the runs have ended.
+const drainPoll = 50 * time.Millisecond
+
+// Sidecar runs beside one target.
+type Sidecar struct {
+	process *mustardtidev1.Process
+	net     *mtnet.Net
+	log     *mtevent.Log
+	spread  *mtspread.Spread
+	list    *mtlist.List
+	control *mtcontrol.Control
+	view    *mtview.View
+	runs    *runs
+	admit   *admit
+	server  *mtserver.Server
+	started time.Time
+
+	targetOnce sync.Once
+	target     target
+	up         atomic.Bool
+	leaving    atomic.Bool
+	ends       []<-chan error
+}
+
+// New returns a sidecar with the given process settings.
+func New(process *mustardtidev1.Process, network *mtnet.Net, log *mtevent.Log) *Sidecar {
+	s := &Sidecar{
+		process: process,
+		net:     network,
+		log:     log,
+		spread:  mtspread.New(process.GetDatacentre(), log),
+		list:    mtlist.New(log),
+		view:    mtview.New(),
+		runs:    newRuns(),
+		admit:   newAdmit(),
+		started: time.Now(),
+	}
+	s.control = mtcontrol.New(log, s.spread, s.list, s.status, s.drain)
+	return s
+}
+
+// Open listens and starts what runs in the background until ctx ends. The
+// server it returns is started by the caller.
+func (s *Sidecar) Open(ctx context.Context) (*mtserver.Server, error) {
+	listener, err := s.net.Listen(s.process.GetInternal())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(mustardtidev1connect.NewSidecarServiceHandler(s))
+	mux.Handle(mustardtidev1connect.NewControlServiceHandler(s.control))
+	s.server = mtserver.New(listener, s.net.ServerTLS(), mux)
+	client := mtplatform.New(s.process.GetPlatform(), s.process.GetNamespace(), s.net.Outside())
+	s.ends = append(s.ends, s.spread.Follow(ctx, client), s.list.Follow(ctx, client), s.watchTarget(ctx))
+	s.log.Add(mtkind.SidecarStarted, &mustardtidev1.Event{Target: s.process.GetName(), Text: listener.Addr().String()})
+	return s.server, nil
+}
+
+// Drain refuses new work at once and returns when the last run has ended or
+// ctx ends.
+func (s *Sidecar) Drain(ctx context.Context) error {
+	s.drain()
+	for s.runs.live() > 0 {
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		}
+	}
+	s.log.Add(mtkind.SidecarStopped, &mustardtidev1.Event{Target: s.process.GetName()})
+	return nil
+}
+
+// Wait returns when everything that Open started has ended.
+func (s *Sidecar) Wait() error {
+	var errors []error
+	for _, end := range s.ends {
+		errors = append(errors, <-end)
+	}
+	s.runs.wait()
+	return trace.NewAggregate(errors...)
+}
+
+func (s *Sidecar) drain() uint32 {
+	if s.leaving.CompareAndSwap(false, true) {
+		s.log.Add(mtkind.SidecarDraining, &mustardtidev1.Event{Target: s.process.GetName()})
+	}
+	return uint32(s.runs.live())
+}
+
+func (s *Sidecar) status() *mustardtidev1.StatusReply {
+	return &mustardtidev1.StatusReply{
+		Name:       s.process.GetName(),
+		Role:       "sidecar",
+		Datacentre: s.process.GetDatacentre(),
+		Ready:      s.up.Load() && !s.leaving.Load(),
+		Leaving:    s.leaving.Load(),
+		State:      s.state(),
+	}
+}
+
+// state is this sidecar's word about its target.
+func (s *Sidecar) state() *mustardtidev1.State {
+	return &mustardtidev1.State{
+		Target:      s.process.GetName(),
+		Incarnation: s.view.Incarnation(),
+		Leaving:     s.leaving.Load(),
+		Ready:       s.up.Load(),
+		Running:     uint32(s.runs.live()),
+		Cached:      uint64(s.view.Len()),
+	}
+}
+
+// service is the settings of the target's service, or nil before they came.
+func (s *Sidecar) service() *mustardtidev1.Service {
+	return s.spread.Snapshot().Service(s.process.GetService())
+}
--- /dev/null
+++ b/internal/standin/mtwire/conn.go
@@ -0,0 +1,68 @@
+package mtwire
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// pair is both ends of one connection.
+type pair struct {
+	client *conn
+	server *conn
+}
+
+// conn is one end. A silent one swallows what is written and reads nothing,
+// until it is closed.
+type conn struct {
+	net.Conn
+	remote net.Addr
+	silent atomic.Bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+func newPair(address net.Addr) *pair {
+	client, server := net.Pipe()
+	return &pair{
+		client: &conn{Conn: client, remote: address, closed: make(chan struct{})},
+		server: &conn{Conn: server, remote: address, closed: make(chan struct{})},
+	}
+}
+
+// Read reads from the other end; a silent connection's reader waits until it
+// gives up and closes.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.silent.Load() {
+			return n, err
+		}
+		if err != nil {
+			<-c.closed
+			return 0, net.ErrClosed
+		}
+	}
+}
+
+// Write writes to the other end, or to nowhere.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes this end.
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// RemoteAddr is the listener's address.
+func (c *conn) RemoteAddr() net.Addr { return c.remote }
+
+// LocalAddr is the listener's address too: no dialer here has one of its own.
+func (c *conn) LocalAddr() net.Addr { return c.remote }
+
+func (c *conn) silence() { c.silent.Store(true) }
