Follow a run over lost connections, and know what ran

Cause: the thin path trusted one connection for a whole answer: a cut or silent one lost the answer, a buffer over 1 MB stalled, nobody ended a run whose caller was gone, and a broken Run left open whether the request ran.

Ruled out: HTTP/2 pings alone (a middle box may answer them while the stream is dead; they also take 5 s); one acknowledgement call a request (they are batched each 100 ms instead).

Change: the entry watches for three missed heartbeats, abandons the pool and resumes by offset; marks of what it has are sent in batches; a run that was not handed to its target can be withdrawn with a true 'not run'; the sidecar's boot lets it say so about a run that it never had, and bars a late call of that run; runs without a reader for 10 s are cancelled; slow readers are cut after 15 s with code 307; mtevidence joins the list with what this process has seen. A drain that reaches its bound ends what is left with explicit errors.

--- /dev/null
+++ b/internal/members/mtevidence/view.go
@@ -0,0 +1,51 @@
+package mtevidence
+
+import (
+	"time"
+
+	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+)
+
+// calm is the time between two looks at the facts when none is to lapse.
+const calm = time.Hour
+
+// view is what requests read; it is immutable.
+type view struct {
+	usable  map[string][]*mustardtidev1.Member
+	boots   map[string]string
+	leaving map[string]bool
+	lapse   time.Duration
+}
+
+func newView(members []*mustardtidev1.Member, facts map[string]fact, now time.Time) *view {
+	v := &view{
+		usable:  map[string][]*mustardtidev1.Member{},
+		boots:   make(map[string]string, len(facts)),
+		leaving: map[string]bool{},
+		lapse:   calm,
+	}
+	for name, f := range facts {
+		v.boots[name] = f.boot
+		if f.leaving && now.Before(f.until) {
+			v.leaving[name] = true
+		}
+	}
+	for _, m := range members {
+		f := facts[m.GetName()]
+		if left := f.until.Sub(now); left > 0 && f.address == m.GetAddress() {
+			v.lapse = min(v.lapse, left)
+			continue
+		}
+		if !m.GetLeaving() && m.GetService() != "" {
+			v.usable[m.GetService()] = append(v.usable[m.GetService()], m)
+		}
+	}
+	return v
+}
+
+// agrees says that a sidecar's word brings nothing new: the common case, which
+// takes no lock. The word of a leaving one renews its fact, so it is new.
+func (v *view) agrees(state *mustardtidev1.State) bool {
+	boot, known := v.boots[state.GetTarget()]
+	return known && boot == state.GetBoot() && !state.GetLeaving() && !v.leaving[state.GetTarget()]
+}
--- a/internal/request/mtbuffer/buffer.go
+++ b/internal/request/mtbuffer/buffer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 
 	"github.com/gravitational/trace"
@@ -85,6 +86,9 @@
 	b.stir()
 }
 
+// Drop frees an ended answer whose reader has all of it.
+func (b *Buffer) Drop() { b.Ack(math.MaxUint64) }
+
 // Next returns the piece at offset, or the finish where the answer ends there,
 // or neither and a channel that closes at the next change. It fails where the
 // piece is no longer kept.
--- a/internal/role/mtentry/choose.go
+++ b/internal/role/mtentry/choose.go
@@ -12,12 +12,7 @@
 // choose lists the targets for a task in the order to try them: rendezvous
 // over the prompt's first mark, so that every entry finds the same home.
 func (e *Entry) choose(t *task) []*mustardtidev1.Member {
-	var members []*mustardtidev1.Member
-	for _, m := range e.list.All() {
-		if m.GetService() == t.service.GetName() && !m.GetLeaving() {
-			members = append(members, m)
-		}
-	}
+	members := slices.Clone(e.evidence.Usable(t.service.GetName()))
 	key := string(t.work.GetChain()[:min(len(t.work.GetChain()), 16)])
 	slices.SortStableFunc(members, func(a, b *mustardtidev1.Member) int {
 		left, right := xxh3.HashString(key+a.GetName()), xxh3.HashString(key+b.GetName())
--- a/internal/role/mtentry/entry.go
+++ b/internal/role/mtentry/entry.go
@@ -12,6 +12,7 @@
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/gen/mustardtide/v1/mustardtidev1connect"
+	"github.com/mustardtide/mustardtide/internal/members/mtevidence"
 	"github.com/mustardtide/mustardtide/internal/members/mtlist"
 	"github.com/mustardtide/mustardtide/internal/observe/mtevent"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
@@ -22,9 +23,6 @@
 	"github.com/mustardtide/mustardtide/internal/settings/mtspread"
 )
 
-// drainPoll is how often a drain looks whether the requests have ended.
-const drainPoll = 50 * time.Millisecond
-
 // Entry takes callers' requests and finds a target for each.
 type Entry struct {
 	process  *mustardtidev1.Process
@@ -32,12 +30,16 @@
 	log      *mtevent.Log
 	spread   *mtspread.Spread
 	list     *mtlist.List
+	evidence *mtevidence.Evidence
 	control  *mtcontrol.Control
 	clients  *clients
 	started  time.Time
 	live     atomic.Int64
 	draining atomic.Bool
-	ends     []<-chan error
+	// over ends when the drain's bound has passed: requests end with an error.
+	over context.Context
+	cut  context.CancelFunc
+	ends []<-chan error
 }
 
 // New returns an entry with the given process settings.
@@ -48,9 +50,11 @@
 		log:     log,
 		spread:  mtspread.New(process.GetDatacentre(), log),
 		list:    mtlist.New(log),
-		clients: newClients(network),
 		started: time.Now(),
 	}
+	e.over, e.cut = context.WithCancel(context.Background())
+	e.evidence = mtevidence.New(e.list)
+	e.clients = newClients(network, e.peer)
 	e.control = mtcontrol.New(log, e.spread, e.list, e.status, e.drain)
 	return e
 }
@@ -70,7 +74,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(mustardtidev1connect.NewControlServiceHandler(e.control))
 	client := mtplatform.New(e.process.GetPlatform(), e.process.GetNamespace(), e.net.Outside())
-	e.ends = append(e.ends, e.spread.Follow(ctx, client), e.list.Follow(ctx, client))
+	e.ends = append(e.ends, e.spread.Follow(ctx, client), e.list.Follow(ctx, client), e.evidence.Follow(ctx))
 	e.log.Add(mtkind.EntryStarted, &mustardtidev1.Event{Text: public.Addr().String()})
 	return []*mtserver.Server{
 		mtserver.New(public, nil, e.routes()),
@@ -78,22 +82,6 @@
 	}, nil
 }
 
-// Drain turns the entry unready, waits until the balancer has seen it and
-// returns when the last request has ended or ctx ends.
-func (e *Entry) Drain(ctx context.Context) error {
-	e.drain()
-	if err := pause(ctx, e.process.GetLag().AsDuration()); err != nil {
-		return trace.Wrap(err)
-	}
-	for e.live.Load() > 0 {
-		if err := pause(ctx, drainPoll); err != nil {
-			return trace.Wrap(err)
-		}
-	}
-	e.log.Add(mtkind.EntryStopped, &mustardtidev1.Event{})
-	return nil
-}
-
 // Wait returns when everything that Open started has ended.
 func (e *Entry) Wait() error {
 	var errors []error
@@ -104,13 +92,6 @@
 	return trace.NewAggregate(errors...)
 }
 
-func (e *Entry) drain() uint32 {
-	if e.draining.CompareAndSwap(false, true) {
-		e.log.Add(mtkind.EntryDraining, &mustardtidev1.Event{})
-	}
-	return uint32(e.live.Load())
-}
-
 func (e *Entry) ready() bool {
 	return e.spread.Snapshot().Revision() > 0 && !e.draining.Load()
 }
@@ -125,12 +106,4 @@
 	}
 }
 
-// pause waits; it fails where ctx ends first.
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (e *Entry) peer() *mustardtidev1.Peer { return e.control.Peer() }
--- a/internal/role/mtentry/serve.go
+++ b/internal/role/mtentry/serve.go
@@ -23,6 +23,8 @@
 	defaultDeadline = time.Minute
 	defaultTokens   = 16
 	bytesPerToken   = 4
+	// bodyTime bounds the reading of a body: 4 MB at a megabit a second.
+	bodyTime = 40 * time.Second
 )
 
 // task is one caller's request on its way.
@@ -38,6 +40,7 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	e.live.Add(1)
 	defer e.live.Add(-1)
+	e.prepare(w)
 	run := newRun()
 	t, refusal := e.accept(w, r, run)
 	if refusal != nil {
@@ -46,11 +49,44 @@
 		return
 	}
 	e.note(mtkind.RequestAccepted, t, "")
-	ctx, cancel := context.WithTimeout(r.Context(), t.left)
+	ctx, cancel := e.bound(r.Context(), t.left)
 	defer cancel()
 	e.answer(ctx, w, t)
 }
 
+// prepare undoes what the connection's last request has set, and asks the
+// caller to close the connection where the entry is leaving: one that is closed
+// while it is idle may be closed under a request on its way.
+func (e *Entry) prepare(w http.ResponseWriter) {
+	// A writer without deadlines is one of a test's recorder.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	if e.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// read reads a request; a body that comes too slowly is refused.
+func read(w http.ResponseWriter, r *http.Request) (*mtcaller.Request, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTime))
+	request, err := mtcaller.Read(w, r, defaultBody)
+	_ = control.SetReadDeadline(time.Time{})
+	return request, err
+}
+
+// bound ends a request at its deadline, when its caller hangs up, and when the
+// entry's drain has reached its bound.
+func (e *Entry) bound(ctx context.Context, left time.Duration) (context.Context, context.CancelFunc) {
+	timed, cancel := context.WithTimeout(ctx, left)
+	bounded, end := context.WithCancelCause(timed)
+	release := context.AfterFunc(e.over, func() { end(errOver) })
+	return bounded, func() {
+		release()
+		end(nil)
+		cancel()
+	}
+}
+
 // accept reads and checks a request: nothing of it has reached a target.
 func (e *Entry) accept(w http.ResponseWriter, r *http.Request, run string) (*task, *mtrefusal.Refusal) {
 	snapshot := e.spread.Snapshot()
@@ -58,7 +94,7 @@
 	if account == nil {
 		return nil, mtrefusal.New(mtcode.UnknownKey, "").Finally()
 	}
-	request, err := mtcaller.Read(w, r, defaultBody)
+	request, err := read(w, r)
 	if err != nil {
 		return nil, mtrefusal.Find(err)
 	}
--- a/internal/role/mtnet/net.go
+++ b/internal/role/mtnet/net.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -18,6 +19,9 @@
 	pingTimeout = 3 * time.Second
 	idleTimeout = 90 * time.Second
 	idlePerHost = 64
+	// streamWindow bounds what a transport holds of one stream whose reader is
+	// slow; net/http's own default is 4 MB.
+	streamWindow = 256 << 10
 )
 
 // Net listens and dials; the zero value is not for use.
@@ -81,10 +85,24 @@
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingEvery,
 			PingTimeout:     pingTimeout,
+
+			MaxReceiveBufferPerStream: streamWindow,
 		},
 	}
 }
 
+// ServerHTTP2 returns the listeners' HTTP/2 settings: their pings end a
+// connection that went silent, so that its runs count as orphaned.
+func ServerHTTP2() *http.HTTP2Config {
+	return &http.HTTP2Config{SendPingTimeout: pingEvery, PingTimeout: pingTimeout}
+}
+
+// Refused says that err is a failed dial: nothing was sent.
+func Refused(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
 // Outside returns the transport to targets and the platform: plain HTTP/1.1.
 func (n *Net) Outside() *http.Transport {
 	return &http.Transport{
--- a/internal/role/mtserver/server.go
+++ b/internal/role/mtserver/server.go
@@ -8,6 +8,8 @@
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 )
 
 // Bounds of a caller's connection: headers within headerTime and headerBytes.
@@ -38,6 +40,7 @@
 	protocols.SetHTTP2(config != nil)
 	protocols.SetUnencryptedHTTP2(config == nil)
 	server.Protocols = protocols
+	server.HTTP2 = mtnet.ServerHTTP2()
 	server.HandlePrefix("/", handler)
 	return &Server{Server: server}
 }
--- a/internal/role/mtsidecar/pump.go
+++ b/internal/role/mtsidecar/pump.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"connectrpc.com/connect"
@@ -11,14 +12,23 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 )
 
+// beatEvery is the time between heartbeats of a quiet stream; an entry takes
+// three missed ones for a silent connection.
+const beatEvery = time.Second
+
+// errReplaced ends the reader of a connection that its entry gave up.
+var errReplaced = errors.New("the run was resumed over another connection")
+
 // pump sends a run's answer from an offset to its end, with heartbeats while
 // there is nothing to send.
 func (s *Sidecar) pump(ctx context.Context, work *mustardtidev1.Work, r *run, offset uint64, stream *connect.ServerStream[mustardtidev1.Frame]) error {
 	beat := time.NewTicker(beatEvery)
 	defer beat.Stop()
 	headed := offset > 0
+	replaced := r.attach()
+	defer r.detach(replaced)
 	for {
-		frame, wake, err := nextFrame(r, &headed, &offset)
+		frame, wake, err := s.nextFrame(r, &headed, &offset)
 		if err != nil {
 			return connect.NewError(connect.CodeOutOfRange, err)
 		}
@@ -33,6 +43,8 @@
 		}
 		select {
 		case <-wake:
+		case <-replaced:
+			return connect.NewError(connect.CodeAborted, errReplaced)
 		case <-beat.C:
 			state := &mustardtidev1.Frame_Beat{Beat: &mustardtidev1.Beat{State: s.state()}}
 			if err := s.send(stream, work, offset, &mustardtidev1.Frame{Step: state}); err != nil {
@@ -46,7 +58,7 @@
 
 // nextFrame returns the next step of the answer, or a channel that closes when
 // there may be one.
-func nextFrame(r *run, headed *bool, offset *uint64) (*mustardtidev1.Frame, <-chan struct{}, error) {
+func (s *Sidecar) nextFrame(r *run, headed *bool, offset *uint64) (*mustardtidev1.Frame, <-chan struct{}, error) {
 	if !*headed {
 		head, wake := r.buffer.Head()
 		if head != nil {
@@ -54,7 +66,7 @@
 			return &mustardtidev1.Frame{Step: &mustardtidev1.Frame_Head{Head: head}}, nil, nil
 		}
 		if finish := r.buffer.End(); finish != nil {
-			return finishFrame(0, finish), nil, nil
+			return s.finishFrame(0, finish), nil, nil
 		}
 		return nil, wake, nil
 	}
@@ -68,13 +80,22 @@
 		return &mustardtidev1.Frame{Offset: at, Step: &mustardtidev1.Frame_Data{Data: data}}, nil, nil
 	}
 	if finish != nil {
-		return finishFrame(*offset, finish), nil, nil
+		return s.finishFrame(*offset, finish), nil, nil
 	}
 	return nil, wake, nil
 }
 
-func finishFrame(offset uint64, finish *mustardtidev1.Finish) *mustardtidev1.Frame {
-	return &mustardtidev1.Frame{Offset: offset, Step: &mustardtidev1.Frame_Finish{Finish: finish}}
+// finishFrame copies the finish, which readers share, and adds the state now.
+func (s *Sidecar) finishFrame(offset uint64, finish *mustardtidev1.Finish) *mustardtidev1.Frame {
+	last := &mustardtidev1.Finish{
+		Complete: finish.GetComplete(),
+		Prompt:   finish.GetPrompt(),
+		Cached:   finish.GetCached(),
+		Output:   finish.GetOutput(),
+		Refusal:  finish.GetRefusal(),
+		State:    s.state(),
+	}
+	return &mustardtidev1.Frame{Offset: offset, Step: &mustardtidev1.Frame_Finish{Finish: last}}
 }
 
 func (s *Sidecar) send(stream *connect.ServerStream[mustardtidev1.Frame], work *mustardtidev1.Work, offset uint64, frame *mustardtidev1.Frame) error {
@@ -87,5 +108,5 @@
 
 func (s *Sidecar) refuse(work *mustardtidev1.Work, refusal *mtrefusal.Refusal, stream *connect.ServerStream[mustardtidev1.Frame]) error {
 	s.note(mtkind.RunRefused, work, refusal.Error())
-	return s.send(stream, work, 0, finishFrame(0, &mustardtidev1.Finish{Refusal: refusal.Message(), State: s.state()}))
+	return s.send(stream, work, 0, s.finishFrame(0, &mustardtidev1.Finish{Refusal: refusal.Message()}))
 }
--- a/internal/role/mtsidecar/run.go
+++ b/internal/role/mtsidecar/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -14,15 +13,11 @@
 	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
 )
 
-// beatEvery is the time between heartbeats of a quiet stream; an entry takes
-// three missed ones for a silent connection.
-const beatEvery = time.Second
-
 // Offer says what this target would make of a request.
 func (s *Sidecar) Offer(_ context.Context, ask *connect.Request[mustardtidev1.OfferRequest]) (*connect.Response[mustardtidev1.OfferReply], error) {
 	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
 	reply := &mustardtidev1.OfferReply{Peer: s.control.Peer(), State: s.state(), Matched: s.matched(ask.Msg.GetWork())}
-	if refusal := s.unfit(); refusal != nil {
+	if refusal := s.unfit(ask.Msg.GetWork()); refusal != nil {
 		reply.Refusal = refusal.Message()
 	}
 	return connect.NewResponse(reply), nil
@@ -32,7 +27,7 @@
 func (s *Sidecar) Run(ctx context.Context, ask *connect.Request[mustardtidev1.RunRequest], stream *connect.ServerStream[mustardtidev1.Frame]) error {
 	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
 	work := ask.Msg.GetWork()
-	if refusal := s.unfit(); refusal != nil {
+	if refusal := s.unfit(work); refusal != nil {
 		return s.refuse(work, refusal, stream)
 	}
 	started := s.start(ask.Msg)
@@ -47,9 +42,9 @@
 func (s *Sidecar) Resume(ctx context.Context, ask *connect.Request[mustardtidev1.ResumeRequest], stream *connect.ServerStream[mustardtidev1.Frame]) error {
 	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
 	work := &mustardtidev1.Work{Run: ask.Msg.GetRun(), Attempt: ask.Msg.GetAttempt()}
-	known := s.runs.find(runKey{run: work.GetRun(), attempt: work.GetAttempt()})
-	if known == nil {
-		refusal := mtrefusal.New(mtcode.RunUnknown, "").Having(mustardtidev1.Ran_UNKNOWN)
+	refusal := s.unknown(ask.Msg.GetBoot())
+	known, found := s.runs.bar(runKey{run: work.GetRun(), attempt: work.GetAttempt()}, refusal)
+	if !found {
 		return s.refuse(work, refusal, stream)
 	}
 	return s.pump(ctx, work, known, ask.Msg.GetOffset(), stream)
@@ -57,19 +52,43 @@
 
 // Ack drops what the entry has.
 func (s *Sidecar) Ack(_ context.Context, ask *connect.Request[mustardtidev1.AckRequest]) (*connect.Response[mustardtidev1.AckReply], error) {
-	if known := s.runs.find(runKey{run: ask.Msg.GetRun(), attempt: ask.Msg.GetAttempt()}); known != nil {
-		known.buffer.Ack(ask.Msg.GetOffset())
+	for _, mark := range ask.Msg.GetMarks() {
+		key := runKey{run: mark.GetRun(), attempt: mark.GetAttempt()}
+		known := s.runs.find(key)
+		if known == nil {
+			continue
+		}
+		known.buffer.Ack(mark.GetOffset())
+		if mark.GetDone() {
+			s.runs.done(key)
+		}
 	}
 	return connect.NewResponse(&mustardtidev1.AckReply{Peer: s.control.Peer()}), nil
 }
 
-// Cancel ends a run whose caller is gone.
+// Cancel ends a run whose caller is gone and says whether it ran. A run that
+// may not be repeated goes on once its target has it: cutting it would lose
+// its outcome, which a resend of its key asks for.
 func (s *Sidecar) Cancel(_ context.Context, ask *connect.Request[mustardtidev1.CancelRequest]) (*connect.Response[mustardtidev1.CancelReply], error) {
-	if known := s.runs.find(runKey{run: ask.Msg.GetRun(), attempt: ask.Msg.GetAttempt()}); known != nil {
-		known.cancel()
+	refusal := s.unknown(ask.Msg.GetBoot())
+	known, found := s.runs.bar(runKey{run: ask.Msg.GetRun(), attempt: ask.Msg.GetAttempt()}, refusal)
+	reply := &mustardtidev1.CancelReply{Peer: s.control.Peer(), Ran: refusal.Ran()}
+	if found {
+		reply.Ran = known.stop()
 		s.log.Add(mtkind.RunCancelled, &mustardtidev1.Event{Run: ask.Msg.GetRun(), Target: s.process.GetName()})
 	}
-	return connect.NewResponse(&mustardtidev1.CancelReply{Peer: s.control.Peer(), Ran: mustardtidev1.Ran_UNKNOWN}), nil
+	return connect.NewResponse(reply), nil
+}
+
+// unknown is the answer about a run that this sidecar does not know. It is a
+// true "not run" if the asker spoke with this very process before it sent the
+// run; an earlier process may have handed it to the target.
+func (s *Sidecar) unknown(boot string) *mtrefusal.Refusal {
+	refusal := mtrefusal.New(mtcode.RunUnknown, s.process.GetName())
+	if boot != s.boot {
+		return refusal.Having(mustardtidev1.Ran_UNKNOWN)
+	}
+	return refusal
 }
 
 // Claim is answered by the claims' home; this version has none.
@@ -78,10 +97,13 @@
 }
 
 // unfit says why no new work is taken now, or nil.
-func (s *Sidecar) unfit() *mtrefusal.Refusal {
+func (s *Sidecar) unfit(work *mustardtidev1.Work) *mtrefusal.Refusal {
 	switch {
 	case s.leaving.Load():
 		return mtrefusal.New(mtcode.Leaving, s.process.GetName())
+	case work.GetService() != s.process.GetService():
+		// The list lags: another target may have had this address before.
+		return mtrefusal.New(mtcode.NoTarget, s.process.GetName()+" runs another service")
 	case s.service() == nil:
 		return mtrefusal.New(mtcode.SettingsMissing, s.process.GetName())
 	case !s.up.Load():
@@ -96,8 +118,10 @@
 func (s *Sidecar) start(ask *mustardtidev1.RunRequest) *run {
 	work := ask.GetWork()
 	key := runKey{run: work.GetRun(), attempt: work.GetAttempt()}
-	ctx, cancel := context.WithTimeout(context.Background(), work.GetLeft().AsDuration())
-	started, fresh := s.runs.add(key, cancel)
+	ctx, cancel := context.WithTimeout(s.base, work.GetLeft().AsDuration())
+	added := newRun(cancel)
+	added.kept = work.GetKey() != ""
+	started, fresh := s.runs.add(key, added)
 	if !fresh {
 		cancel()
 		return started
@@ -117,35 +141,20 @@
 		return &mustardtidev1.Finish{Refusal: mtrefusal.New(mtcode.DeadlineTooNear, "").Message()}
 	}
 	defer s.admit.leave()
+	if !started.begin() {
+		return &mustardtidev1.Finish{Refusal: mtrefusal.New(mtcode.CallerGone, "").Message()}
+	}
 	s.note(mtkind.RunBegan, work, "")
 	emit := func(f *mustardtidev1.Frame) error { return started.take(ctx, f) }
 	finish, err := call(ctx, s.program(s.service()), work, ask.GetCall(), emit)
 	if err != nil {
 		s.note(mtkind.RunFailed, work, err.Error())
-		return &mustardtidev1.Finish{Refusal: s.failure(ctx, err).Message()}
+		return &mustardtidev1.Finish{Refusal: failure(ctx, started, err).Message()}
 	}
 	s.note(mtkind.RunFinished, work, "")
 	return finish
 }
 
-func (s *Sidecar) failure(ctx context.Context, err error) *mtrefusal.Refusal {
-	if ctx.Err() != nil {
-		return mtrefusal.New(mtcode.DeadlinePassed, "").Having(mustardtidev1.Ran_YES)
-	}
-	return mtrefusal.New(mtcode.TargetDied, err.Error()).Having(mustardtidev1.Ran_UNKNOWN)
-}
-
-// take puts a target's step into the run's buffer.
-func (r *run) take(ctx context.Context, f *mustardtidev1.Frame) error {
-	switch step := f.GetStep().(type) {
-	case *mustardtidev1.Frame_Head:
-		r.buffer.Start(step.Head)
-	case *mustardtidev1.Frame_Data:
-		return r.buffer.Write(ctx, step.Data)
-	}
-	return nil
-}
-
 func (s *Sidecar) matched(work *mustardtidev1.Work) uint64 {
 	service := s.service()
 	if service == nil || len(work.GetChain()) == 0 {
--- a/internal/role/mtsidecar/sidecar.go
+++ b/internal/role/mtsidecar/sidecar.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -24,9 +25,6 @@
 	"github.com/mustardtide/mustardtide/internal/settings/mtspread"
 )
 
-// drainPoll is how often a drain looks whether the runs have ended.
-const drainPoll = 50 * time.Millisecond
-
 // Sidecar runs beside one target.
 type Sidecar struct {
 	process *mustardtidev1.Process
@@ -40,6 +38,9 @@
 	admit   *admit
 	server  *mtserver.Server
 	started time.Time
+	// boot names this start of the process; base bounds its runs.
+	boot string
+	base context.Context
 
 	targetOnce sync.Once
 	target     target
@@ -60,6 +61,8 @@
 		runs:    newRuns(),
 		admit:   newAdmit(),
 		started: time.Now(),
+		boot:    rand.Text(),
+		base:    context.Background(),
 	}
 	s.control = mtcontrol.New(log, s.spread, s.list, s.status, s.drain)
 	return s
@@ -72,6 +75,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	s.base = ctx
 	mux := http.NewServeMux()
 	mux.Handle(mustardtidev1connect.NewSidecarServiceHandler(s))
 	mux.Handle(mustardtidev1connect.NewControlServiceHandler(s.control))
@@ -82,21 +86,6 @@
 	return s.server, nil
 }
 
-// Drain refuses new work at once and returns when the last run has ended or
-// ctx ends.
-func (s *Sidecar) Drain(ctx context.Context) error {
-	s.drain()
-	for s.runs.live() > 0 {
-		select {
-		case <-time.After(drainPoll):
-		case <-ctx.Done():
-			return trace.Wrap(ctx.Err())
-		}
-	}
-	s.log.Add(mtkind.SidecarStopped, &mustardtidev1.Event{Target: s.process.GetName()})
-	return nil
-}
-
 // Wait returns when everything that Open started has ended.
 func (s *Sidecar) Wait() error {
 	var errors []error
@@ -107,13 +96,6 @@
 	return trace.NewAggregate(errors...)
 }
 
-func (s *Sidecar) drain() uint32 {
-	if s.leaving.CompareAndSwap(false, true) {
-		s.log.Add(mtkind.SidecarDraining, &mustardtidev1.Event{Target: s.process.GetName()})
-	}
-	return uint32(s.runs.live())
-}
-
 func (s *Sidecar) status() *mustardtidev1.StatusReply {
 	return &mustardtidev1.StatusReply{
 		Name:       s.process.GetName(),
@@ -134,6 +116,7 @@
 		Ready:       s.up.Load(),
 		Running:     uint32(s.runs.live()),
 		Cached:      uint64(s.view.Len()),
+		Boot:        s.boot,
 	}
 }
 
