Give operators status, timeline, drain, explain, metrics and TLS between processes

Cause: operators had logs of single processes only, and any caller with network access could drain a process. Change: commands status, timeline (events of all processes by logical stamp), drain, explain, version; /metrics by go-metrics on the internal listener; certificates by role, read anew every 30 s; docs tables written from the code and compared by tests. Ruled out: checking addresses in certificates (instances are replaced at any time); the metrics library's timers (they start goroutines). Conclusion: the roles' own tests run without TLS; TLS is tested at the control service.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
 
-.PHONY: build test format lint vet unit generate proofs measure overhead run-local bench
+.PHONY: build test format lint vet unit generate proofs measure overhead run-local bench docs
 
 build:
 	go build -o $(BIN)/ . ./cmd/...
@@ -35,3 +35,7 @@
 	go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 	go install connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1
 	PATH="$$(go env GOPATH)/bin:$$PATH" buf generate
+
+# The tables of docs/ that are written from the code.
+docs:
+	UPDATE=1 go test -count=1 ./internal/observe/mtcode ./internal/observe/mtkind
--- a/internal/command/mttable/table.go
+++ b/internal/command/mttable/table.go
@@ -28,6 +28,11 @@
 	{"entry", "Run an entry: take callers' requests behind the balancer.", bindEntry},
 	{"sidecar", "Run a sidecar beside a target.", bindSidecar},
 	{"submit", "Put a base file or overlays in force everywhere.", bindSubmit},
+	{"status", "Show every process and its target.", bindStatus},
+	{"timeline", "Show the events of all processes in one order.", bindTimeline},
+	{"drain", "Let one process take no new work and finish what it has.", bindDrain},
+	{"explain", "Explain a result code or an event's number.", bindExplain},
+	{"version", "Print the version.", bindVersion},
 }
 
 // Run parses the arguments and runs one command. It returns the exit code: 0,
--- a/internal/observe/mtevent/log.go
+++ b/internal/observe/mtevent/log.go
@@ -2,6 +2,7 @@
 package mtevent
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/observe/mtmetric"
 	"github.com/mustardtide/mustardtide/internal/observe/mtstamp"
 )
 
@@ -23,6 +25,7 @@
 	source string
 	clock  *mtstamp.Clock
 	zap    *zap.Logger
+	set    *mtmetric.Set
 
 	mu   sync.Mutex
 	ring []*mustardtidev1.Event
@@ -35,7 +38,7 @@
 	if logger == nil {
 		logger = zap.NewNop()
 	}
-	return &Log{source: source, clock: clock, zap: logger.With(zap.String("source", source))}
+	return &Log{source: source, clock: clock, zap: logger.With(zap.String("source", source)), set: mtmetric.New()}
 }
 
 // Source is the process's name.
@@ -44,9 +47,13 @@
 // Clock is the process's logical clock.
 func (l *Log) Clock() *mtstamp.Clock { return l.clock }
 
+// Metrics is the process's metrics; each kind of event is counted there.
+func (l *Log) Metrics() *mtmetric.Set { return l.set }
+
 // Add logs one event. It sets stamp, seq, time and source of e.
 func (l *Log) Add(kind mtkind.Kind, e *mustardtidev1.Event) {
 	l.keep(kind, e)
+	l.set.Add(fmt.Sprintf("events_total{event=%q}", kind.Name()), 1)
 	l.zap.Info(kind.Name(),
 		zap.Uint32("event", e.GetCode()),
 		zap.Uint64("stamp", e.GetStamp()),
--- a/internal/role/mtdaemon/daemon.go
+++ b/internal/role/mtdaemon/daemon.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
@@ -20,6 +21,7 @@
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
 	"github.com/mustardtide/mustardtide/internal/role/mtsidecar"
+	"github.com/mustardtide/mustardtide/internal/role/mttls"
 	"github.com/mustardtide/mustardtide/internal/settings/mtschema"
 )
 
@@ -35,7 +37,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	entry := mtentry.New(process, mtnet.System(), log)
+	network, err := connect(process)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	entry := mtentry.New(process, network, log)
 	servers, err := entry.Open(ctx)
 	if err != nil {
 		return trace.Wrap(err)
@@ -55,7 +61,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	sidecar := mtsidecar.New(process, mtnet.System(), log)
+	network, err := connect(process)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	sidecar := mtsidecar.New(process, network, log)
 	server, err := sidecar.Open(ctx)
 	if err != nil {
 		return trace.Wrap(err)
@@ -80,9 +90,23 @@
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
+	klog.SetLogger(kratosLogger{zap: logger})
 	return process, mtevent.New(process.GetName(), &mtstamp.Clock{}, logger), nil
 }
 
+// connect returns the instance's network, secured where the settings give keys.
+func connect(process *mustardtidev1.Process) (*mtnet.Net, error) {
+	network := mtnet.System()
+	if process.GetTls() == nil {
+		return network, nil
+	}
+	keys, err := mttls.Load(process.GetTls())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return network.Secured(keys.Server(), keys.Client()), nil
+}
+
 // serve runs the servers until a signal, drains, and stops them. A second
 // signal cuts nothing: kratos reads only the first.
 func serve(process *mustardtidev1.Process, servers []*mtserver.Server, drain func(context.Context) error) error {
--- a/internal/role/mtentry/entry.go
+++ b/internal/role/mtentry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/mustardtide/mustardtide/internal/role/mtcontrol"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
+	"github.com/mustardtide/mustardtide/internal/role/mttls"
 	"github.com/mustardtide/mustardtide/internal/settings/mtspread"
 )
 
@@ -69,12 +70,13 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(mustardtidev1connect.NewControlServiceHandler(e.control))
+	mux.Handle("/metrics", e.log.Metrics())
 	client := mtplatform.New(e.process.GetPlatform(), e.process.GetNamespace(), e.net.Outside())
 	e.ends = append(e.ends, e.spread.Follow(ctx, client), e.list.Follow(ctx, client))
 	e.log.Add(mtkind.EntryStarted, &mustardtidev1.Event{Text: public.Addr().String()})
 	return []*mtserver.Server{
 		mtserver.New(public, nil, e.routes()),
-		mtserver.New(internal, e.net.ServerTLS(), mux),
+		mtserver.New(internal, e.net.ServerTLS(), mttls.Guard(mux)),
 	}, nil
 }
 
--- a/internal/role/mtsidecar/sidecar.go
+++ b/internal/role/mtsidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"github.com/mustardtide/mustardtide/internal/role/mtcontrol"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
+	"github.com/mustardtide/mustardtide/internal/role/mttls"
 	"github.com/mustardtide/mustardtide/internal/settings/mtspread"
 )
 
@@ -75,7 +76,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(mustardtidev1connect.NewSidecarServiceHandler(s))
 	mux.Handle(mustardtidev1connect.NewControlServiceHandler(s.control))
-	s.server = mtserver.New(listener, s.net.ServerTLS(), mux)
+	mux.Handle("/metrics", s.log.Metrics())
+	s.server = mtserver.New(listener, s.net.ServerTLS(), mttls.Guard(mux))
 	client := mtplatform.New(s.process.GetPlatform(), s.process.GetNamespace(), s.net.Outside())
 	s.ends = append(s.ends, s.spread.Follow(ctx, client), s.list.Follow(ctx, client), s.watchTarget(ctx))
 	s.log.Add(mtkind.SidecarStarted, &mustardtidev1.Event{Target: s.process.GetName(), Text: listener.Addr().String()})
