--- a/internal/standin/mtplatform/members.go
+++ b/internal/standin/mtplatform/members.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
 
@@ -15,24 +16,46 @@
 
 const slicePrefix = "slices/"
 
-// PutMember lists an instance or changes its entry.
+// PutMember lists an instance or changes its entry, after the list's lag.
 func (s *Server) PutMember(m *mustardtidev1.Member) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.members[m.GetName()] = m
-	s.apply("MODIFIED", sliceOf(m))
+	s.later(m.GetName(), func() {
+		s.members[m.GetName()] = m
+		s.apply("MODIFIED", sliceOf(m))
+	})
 }
 
-// DropMember takes an instance off the list.
+// DropMember takes an instance off the list, after the list's lag.
 func (s *Server) DropMember(name string) {
+	s.later(name, func() {
+		m, ok := s.members[name]
+		if !ok {
+			return
+		}
+		delete(s.members, name)
+		s.apply("DELETED", sliceOf(m))
+	})
+}
+
+// later makes a change of the list after its lag, unless a newer change of the
+// same instance was made already, as after the lag was shortened.
+func (s *Server) later(name string, change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m, ok := s.members[name]
-	if !ok {
+	s.changed++
+	order := s.changed
+	if s.lag == 0 {
+		s.orders[name] = order
+		change()
 		return
 	}
-	delete(s.members, name)
-	s.apply("DELETED", sliceOf(m))
+	time.AfterFunc(s.lag, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.orders[name] < order {
+			s.orders[name] = order
+			change()
+		}
+	})
 }
 
 func (s *Server) slices(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/mtplatform/server.go
+++ b/internal/standin/mtplatform/server.go
@@ -9,8 +9,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/internal/standin/mtfault"
 )
 
 // history bounds the changes kept for watches; older versions get 410 Gone.
@@ -29,16 +31,25 @@
 	version uint64
 	objects map[string]object
 	members map[string]*mustardtidev1.Member
+	orders  map[string]uint64
+	changed uint64
+	lag     time.Duration
 	changes []change
 	wake    chan struct{}
 	mux     *http.ServeMux
+	faults  *mtfault.Faults
 }
 
-// New returns an empty store.
-func New() *Server {
+// New returns an empty store without faults.
+func New() *Server { return Seeded(1) }
+
+// Seeded returns an empty store; seed decides which answers a fault loses.
+func Seeded(seed uint64) *Server {
 	s := &Server{
 		objects: map[string]object{},
 		members: map[string]*mustardtidev1.Member{},
+		orders:  map[string]uint64{},
+		faults:  mtfault.New(seed),
 		wake:    make(chan struct{}),
 		mux:     http.NewServeMux(),
 	}
@@ -48,7 +59,11 @@
 
 // ServeHTTP answers one call of the object API.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mux.ServeHTTP(w, r)
+	if isAdmin(r) {
+		s.mux.ServeHTTP(w, r)
+		return
+	}
+	s.faults.Serve(w, r, s.mux)
 }
 
 func (s *Server) routes() {
@@ -61,6 +76,8 @@
 	s.mux.HandleFunc("GET /apis/discovery.k8s.io/v1/namespaces/{namespace}/endpointslices", s.slices)
 	s.mux.HandleFunc("PUT /standin/members/{name}", s.putMember)
 	s.mux.HandleFunc("DELETE /standin/members/{name}", s.dropMember)
+	s.mux.HandleFunc("PUT /standin/faults", s.putFaults)
+	s.mux.HandleFunc("GET /standin/counts", s.counts)
 }
 
 // apply stores a new value under the next version. The lock is held.
--- a/internal/standin/mtplatform/watch.go
+++ b/internal/standin/mtplatform/watch.go
@@ -15,8 +15,12 @@
 	w.WriteHeader(http.StatusOK)
 	control := http.NewResponseController(w)
 	encoder := json.NewEncoder(w)
+	broken := s.faults.Watching()
 	_ = control.Flush()
 	for {
+		if !s.faults.Gate(r.Context()) {
+			return
+		}
 		changes, wake, gone := s.since(after)
 		if gone {
 			_ = encoder.Encode(map[string]any{"type": "ERROR", "object": status{Kind: "Status", Status: "Failure", Reason: "Expired", Code: http.StatusGone}})
@@ -34,6 +38,8 @@
 		_ = control.Flush()
 		select {
 		case <-wake:
+		case <-broken:
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
