--- a/internal/command/mttable/table.go
+++ b/internal/command/mttable/table.go
@@ -32,6 +32,7 @@
 	{"timeline", "Show the events of all processes in one order.", bindTimeline},
 	{"drain", "Let one process take no new work and finish what it has.", bindDrain},
 	{"explain", "Explain a result code or an event's number.", bindExplain},
+	{"demo", "Show the main job in one process, with stand-ins.", bindDemo},
 	{"version", "Print the version.", bindVersion},
 }
 
--- a/internal/role/mtentry/entry.go
+++ b/internal/role/mtentry/entry.go
@@ -80,6 +80,9 @@
 	}, nil
 }
 
+// Handler is the callers' API, for a listener that the entry did not open.
+func (e *Entry) Handler() http.Handler { return e.routes() }
+
 // Drain turns the entry unready, waits until the balancer has seen it and
 // returns when the last request has ended or ctx ends.
 func (e *Entry) Drain(ctx context.Context) error {
--- a/internal/standin/mtfleet/fleet.go
+++ b/internal/standin/mtfleet/fleet.go
@@ -140,6 +140,9 @@
 // Entry is the URL of an entry's listener for callers.
 func (f *Fleet) Entry(name string) string { return "http://" + f.find(name).public }
 
+// Handler is an entry's API for callers, for a listener outside the fleet.
+func (f *Fleet) Handler(name string) http.Handler { return f.find(name).entry.Handler() }
+
 // Address is the internal address of a process.
 func (f *Fleet) Address(name string) string { return f.find(name).internal }
 
