--- a/internal/command/mtoperator/operator.go
+++ b/internal/command/mtoperator/operator.go
@@ -41,6 +41,9 @@
 	return &Operator{net: network, platform: platform, peers: peers, http: &http.Client{Transport: network.Internal()}}
 }
 
+// Close ends the connections.
+func (o *Operator) Close() { o.http.CloseIdleConnections() }
+
 // Statuses asks every process for its status. A process that does not answer
 // has a status with its name and role only.
 func (o *Operator) Statuses(ctx context.Context) ([]*mustardtidev1.StatusReply, error) {
--- a/internal/command/mttable/demo.go
+++ b/internal/command/mttable/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -53,7 +54,11 @@
 	go func() { ended <- server.Serve(listener) }()
 	fmt.Fprintf(out, "\ncurl -N http://%s/v1/completions -H 'Authorization: Bearer schools-key' \\\n  -d '{\"model\":\"dossier\",\"stream\":true,\"prompt\":\"Are medical notes missing?\"}'\n", listener.Addr())
 	<-ctx.Done()
-	err = server.Close()
-	<-ended
-	return trace.Wrap(err)
+	if err := server.Close(); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err)
+	}
+	return nil
 }
