--- a/internal/observe/mtevent/log.go
+++ b/internal/observe/mtevent/log.go
@@ -2,14 +2,17 @@
 package mtevent
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/observe/mtmetric"
 	"github.com/mustardtide/mustardtide/internal/observe/mtstamp"
 )
 
@@ -23,6 +26,8 @@
 	source string
 	clock  *mtstamp.Clock
 	zap    *zap.Logger
+	set    *mtmetric.Set
+	counts map[mtkind.Kind]metrics.Counter
 
 	mu   sync.Mutex
 	ring []*mustardtidev1.Event
@@ -35,7 +40,23 @@
 	if logger == nil {
 		logger = zap.NewNop()
 	}
-	return &Log{source: source, clock: clock, zap: logger.With(zap.String("source", source))}
+	set := mtmetric.New()
+	return &Log{
+		source: source,
+		clock:  clock,
+		zap:    logger.With(zap.String("source", source)),
+		set:    set,
+		counts: counters(set),
+	}
+}
+
+// counters makes one counter a kind, so that Add looks none up by its name.
+func counters(set *mtmetric.Set) map[mtkind.Kind]metrics.Counter {
+	counts := map[mtkind.Kind]metrics.Counter{}
+	for _, kind := range mtkind.All() {
+		counts[kind] = set.Counter(fmt.Sprintf("events_total{event=%q}", kind.Name()))
+	}
+	return counts
 }
 
 // Source is the process's name.
@@ -44,9 +65,15 @@
 // Clock is the process's logical clock.
 func (l *Log) Clock() *mtstamp.Clock { return l.clock }
 
+// Metrics is the process's metrics; each kind of event is counted there.
+func (l *Log) Metrics() *mtmetric.Set { return l.set }
+
 // Add logs one event. It sets stamp, seq, time and source of e.
 func (l *Log) Add(kind mtkind.Kind, e *mustardtidev1.Event) {
 	l.keep(kind, e)
+	if count := l.counts[kind]; count != nil {
+		count.Inc(1)
+	}
 	l.zap.Info(kind.Name(),
 		zap.Uint32("event", e.GetCode()),
 		zap.Uint64("stamp", e.GetStamp()),
--- a/internal/role/mtentry/entry.go
+++ b/internal/role/mtentry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/mustardtide/mustardtide/internal/role/mtcontrol"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
+	"github.com/mustardtide/mustardtide/internal/role/mttls"
 	"github.com/mustardtide/mustardtide/internal/settings/mtspread"
 )
 
@@ -73,15 +74,19 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(mustardtidev1connect.NewControlServiceHandler(e.control))
+	mux.Handle("/metrics", e.log.Metrics())
 	client := mtplatform.New(e.process.GetPlatform(), e.process.GetNamespace(), e.net.Outside())
 	e.ends = append(e.ends, e.spread.Follow(ctx, client), e.list.Follow(ctx, client), e.evidence.Follow(ctx))
 	e.log.Add(mtkind.EntryStarted, &mustardtidev1.Event{Text: public.Addr().String()})
 	return []*mtserver.Server{
 		mtserver.New(public, nil, e.routes()),
-		mtserver.New(internal, e.net.ServerTLS(), mux),
+		mtserver.New(internal, e.net.ServerTLS(), mttls.Guard(mux)),
 	}, nil
 }
 
+// Handler is the callers' API, for a listener that the entry did not open.
+func (e *Entry) Handler() http.Handler { return e.routes() }
+
 // Wait returns when everything that Open started has ended.
 func (e *Entry) Wait() error {
 	var errors []error
