Run what may not be repeated at most once, behind a claim

Cause: services with once: true ran again on every resend and retry. Ruled out: a claim by the entry (a dead entry's claim could not be told from a run; the sidecar alone knows what it handed over); a claim before admission (each refusal would leave one behind). A record names the start of the sidecar that may run it; mtonce.Table lets that process hand a key over once and keeps the answer. A resend attaches to the run, gets the kept answer, 403, or, by a refusal that names the target, is sent there by its entry. Outcomes that nobody knows are 405 or 406, ran unknown. The entry's Wait lets its requests end before it waits for their tails: the race detector saw WaitGroup.Add race with Wait in TestOnce. Conclusion: "ran: no" speaks of the sending that the answer names; what became of a key is told by its answer, 403, 405 and 406.

--- a/internal/admission/mtrefusal/refusal.go
+++ b/internal/admission/mtrefusal/refusal.go
@@ -20,6 +20,7 @@
 	ran    mustardtidev1.Ran
 	after  time.Duration
 	final  bool
+	target string
 }
 
 // New returns a refusal of a request that did not run.
@@ -38,6 +39,7 @@
 		ran:    m.GetRan(),
 		after:  m.GetAfter().AsDuration(),
 		final:  m.GetFinal(),
+		target: m.GetTarget(),
 	}
 }
 
@@ -68,6 +70,15 @@
 	return &r
 }
 
+// At returns a copy that names the only target that can answer.
+func (r Refusal) At(target string) *Refusal {
+	r.target = target
+	return &r
+}
+
+// Target is the only one that can answer for the request's key, or empty.
+func (r *Refusal) Target() string { return r.target }
+
 // Code is the numbered result.
 func (r *Refusal) Code() mtcode.Code { return r.code }
 
@@ -101,6 +112,7 @@
 		Reason: r.reason,
 		Ran:    r.ran,
 		Final:  r.final,
+		Target: r.target,
 	}
 	if r.after > 0 {
 		m.After = durationpb.New(r.after)
--- a/internal/request/mtclaim/claims.go
+++ b/internal/request/mtclaim/claims.go
@@ -94,18 +94,12 @@
 
 // Claim returns the record that decides who may run a key: the given claim if
 // the key had none. It fails with a refusal, at once, where the platform can't
-// be written; the claim may then still be kept, now or later.
+// be written: the request may then not be run, though the claim may still be
+// kept, now or later.
 func (c *Claims) Claim(ctx context.Context, claim *mustardtidev1.Claim) (*mustardtidev1.Claim, error) {
 	return c.keepers[ShardOf(claim.GetId())].claim(ctx, claim)
 }
 
-// Known returns the record that this process has seen of an id, or nil, and
-// the time since it knew the whole shard; false if it never did.
-func (c *Claims) Known(id []byte) (*mustardtidev1.Claim, time.Duration, bool) {
-	return c.keepers[ShardOf(id)].known(id)
-}
-
 func refuse(cause string) error {
-	refusal := mtrefusal.New(mtcode.ClaimFailed, cause).After(afterLeast + rand.N(afterSpread))
-	return trace.Wrap(refusal.Having(mustardtidev1.Ran_UNKNOWN))
+	return trace.Wrap(mtrefusal.New(mtcode.ClaimFailed, cause).After(afterLeast + rand.N(afterSpread)))
 }
--- a/internal/request/mtclaim/keeper.go
+++ b/internal/request/mtclaim/keeper.go
@@ -49,7 +49,6 @@
 	core    *mtshard.Shard
 	failing bool
 	retryAt time.Time
-	contact time.Time
 
 	appended time.Time
 	purged   time.Time
@@ -99,7 +98,7 @@
 		if err != nil {
 			return nil, err
 		}
-		held, _, _ := k.known(claim.GetId())
+		held := k.known(claim.GetId())
 		if held == nil || !time.Now().Before(held.GetUntil().AsTime()) {
 			return nil, refuse("the claim took too long")
 		}
@@ -127,10 +126,10 @@
 	return nil, false
 }
 
-func (k *keeper) known(id []byte) (*mustardtidev1.Claim, time.Duration, bool) {
+func (k *keeper) known(id []byte) *mustardtidev1.Claim {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.core.Find(id, time.Now()), time.Since(k.contact), k.core.Loaded()
+	return k.core.Find(id, time.Now())
 }
 
 // collect gathers a batch: the window, or what is left of the gap.
--- a/internal/request/mtclaim/settle.go
+++ b/internal/request/mtclaim/settle.go
@@ -94,7 +94,6 @@
 
 // read answers the shard's Read and Verify.
 func (k *keeper) read(ctx context.Context, number uint64) error {
-	asked := time.Now()
 	record, err := k.store.Get(ctx, objectName(k.segments(), number))
 	if trace.IsNotFound(err) {
 		k.locked(k.core.Missing)
@@ -113,14 +112,12 @@
 		k.note(mtkind.ClaimSettled, strconv.FormatUint(number, 10))
 	}
 	k.core.Found(record.Version(), segment)
-	k.contact = asked
 	return nil
 }
 
 // load reads the whole shard: the segments before the packs, since a segment
 // is deleted only after a pack holds it.
 func (k *keeper) load(ctx context.Context) error {
-	asked := time.Now()
 	records, _, err := k.store.List(ctx, k.segments())
 	if err != nil {
 		return trace.Wrap(err)
@@ -150,7 +147,6 @@
 	if err := k.core.Load(segments, packs); err != nil {
 		return trace.Wrap(err)
 	}
-	k.contact = asked
 	k.doom(records)
 	return nil
 }
--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -28,7 +28,7 @@
 		}
 		t.work.Attempt++
 		e.note(mtkind.AttemptSent, t, member.GetName())
-		refusal = e.attempt(ctx, member, t, out)
+		refusal = e.redirect(ctx, t, out, e.attempt(ctx, member, t, out))
 		if refusal == nil {
 			e.note(mtkind.RequestAnswered, t, member.GetName())
 			return
--- a/internal/role/mtentry/entry.go
+++ b/internal/role/mtentry/entry.go
@@ -93,6 +93,10 @@
 	for _, end := range e.ends {
 		errors = append(errors, <-end)
 	}
+	// A request still on its way adds to what close waits for.
+	for e.live.Load() > 0 {
+		time.Sleep(drainPoll)
+	}
 	e.clients.close()
 	return trace.NewAggregate(errors...)
 }
--- a/internal/role/mtsidecar/run.go
+++ b/internal/role/mtsidecar/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"connectrpc.com/connect"
 
@@ -91,14 +90,11 @@
 	return refusal
 }
 
-// Claim is answered by the claims' home; this version has none.
-func (s *Sidecar) Claim(context.Context, *connect.Request[mustardtidev1.ClaimRequest]) (*connect.Response[mustardtidev1.ClaimReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("no claims yet"))
-}
-
 // unfit says why no new work is taken now, or nil.
 func (s *Sidecar) unfit(work *mustardtidev1.Work) *mtrefusal.Refusal {
 	switch {
+	case s.began(work):
+		return nil
 	case s.leaving.Load():
 		return mtrefusal.New(mtcode.Leaving, s.process.GetName())
 	case work.GetService() != s.process.GetService():
@@ -136,16 +132,26 @@
 
 // execute waits for a slot and runs the request on the target.
 func (s *Sidecar) execute(ctx context.Context, ask *mustardtidev1.RunRequest, started *run) *mustardtidev1.Finish {
-	work := ask.GetWork()
+	if known := s.attach(ctx, ask.GetWork(), started); known != nil {
+		return known
+	}
 	if err := s.admit.enter(ctx); err != nil {
 		return &mustardtidev1.Finish{Refusal: mtrefusal.New(mtcode.DeadlineTooNear, "").Message()}
 	}
 	defer s.admit.leave()
+	if ask.GetWork().GetKey() != "" {
+		return s.executeOnce(ctx, ask, started)
+	}
 	if !started.begin() {
 		return &mustardtidev1.Finish{Refusal: mtrefusal.New(mtcode.CallerGone, "").Message()}
 	}
+	return s.perform(ctx, ask, started, func(f *mustardtidev1.Frame) error { return started.take(ctx, f) })
+}
+
+// perform hands a begun run to the target.
+func (s *Sidecar) perform(ctx context.Context, ask *mustardtidev1.RunRequest, started *run, emit func(*mustardtidev1.Frame) error) *mustardtidev1.Finish {
+	work := ask.GetWork()
 	s.note(mtkind.RunBegan, work, "")
-	emit := func(f *mustardtidev1.Frame) error { return started.take(ctx, f) }
 	finish, err := call(ctx, s.program(s.service()), work, ask.GetCall(), emit)
 	if err != nil {
 		s.note(mtkind.RunFailed, work, err.Error())
--- a/internal/role/mtsidecar/sidecar.go
+++ b/internal/role/mtsidecar/sidecar.go
@@ -19,6 +19,8 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/outside/mtplatform"
 	"github.com/mustardtide/mustardtide/internal/prefix/mtview"
+	"github.com/mustardtide/mustardtide/internal/request/mtclaim"
+	"github.com/mustardtide/mustardtide/internal/request/mtonce"
 	"github.com/mustardtide/mustardtide/internal/role/mtcontrol"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
@@ -37,6 +39,9 @@
 	view    *mtview.View
 	runs    *runs
 	admit   *admit
+	once    *mtonce.Table
+	claims  *mtclaim.Claims
+	homes   *homes
 	server  *mtserver.Server
 	started time.Time
 	// boot names this start of the process; base bounds its runs.
@@ -61,6 +66,8 @@
 		view:    mtview.New(),
 		runs:    newRuns(),
 		admit:   newAdmit(),
+		once:    mtonce.New(),
+		homes:   newHomes(network.Internal(), network.Scheme()),
 		started: time.Now(),
 		boot:    rand.Text(),
 		base:    context.Background(),
@@ -83,7 +90,8 @@
 	mux.Handle("/metrics", s.log.Metrics())
 	s.server = mtserver.New(listener, s.net.ServerTLS(), mttls.Guard(mux))
 	client := mtplatform.New(s.process.GetPlatform(), s.process.GetNamespace(), s.net.Outside())
-	s.ends = append(s.ends, s.spread.Follow(ctx, client), s.list.Follow(ctx, client), s.watchTarget(ctx))
+	s.claims = mtclaim.New(client, s.log)
+	s.ends = append(s.ends, s.claims.Follow(ctx), s.spread.Follow(ctx, client), s.list.Follow(ctx, client), s.watchTarget(ctx))
 	s.log.Add(mtkind.SidecarStarted, &mustardtidev1.Event{Target: s.process.GetName(), Text: listener.Addr().String()})
 	return s.server, nil
 }
@@ -95,6 +103,7 @@
 		errors = append(errors, <-end)
 	}
 	s.runs.wait()
+	s.homes.close()
 	return trace.NewAggregate(errors...)
 }
 
