Add a load tool for the path in separate processes

Cause: the emulated engines had no caller that shows what a load gets. Change: mustardtide-standin load: open loop, Poisson arrivals, nested prompts, bounded rate and time; LOAD=... with test/run-local.sh.

--- a/cmd/mustardtide-standin/main.go
+++ b/cmd/mustardtide-standin/main.go
@@ -28,6 +28,8 @@
 	blocks := engine.Flag("blocks", "Cache blocks of 16 tokens.").Default("20000").Int()
 	service := app.Command("service", "A plain service.")
 	took := service.Flag("took", "Time of one call.").Default("5ms").Duration()
+	load := app.Command("load", "Send a bounded load of nested prompts to an entry.")
+	send := bindLoad(load)
 	var handler http.Handler
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case platform.FullCommand():
@@ -36,6 +38,9 @@
 		handler = mtengine.New(*slots, *prefill, *decode, *blocks)
 	case service.FullCommand():
 		handler = mtservice.New(*took)
+	case load.FullCommand():
+		send()
+		return
 	}
 	server := &http.Server{Addr: *listen, Handler: handler, ReadHeaderTimeout: headerTime}
 	if err := server.ListenAndServe(); err != nil {
--- a/test/run-local.sh
+++ b/test/run-local.sh
@@ -98,4 +98,11 @@
 ask
 echo "plain answer of $plain:"
 curl -fsS "$entry/v1/services/$plain/remind" -H "Authorization: Bearer $account-key" -H "Idempotency-Key: run-local-1" -d '{"slip":7}'
+if [ "${LOAD:-}" ]; then # LOAD="--rate 100 --for 10s" sends a load as well
+	keys=()
+	while read -r name; do keys+=(--key "$name-key"); done < <(sed -n '/^services:/q; s/^  - name: //p' "examples/$fleet/base.yaml")
+	# shellcheck disable=SC2086 # the load's flags are words
+	bin/mustardtide-standin load --entry "$entry" --model "$model" "${keys[@]}" $LOAD
+	bin/mustardtide status --platform "$platform"
+fi
 echo "run-local: $fleet passed"
