Choose targets by homes, memory and price, and measure it

Cause: an entry took one rendezvous home by the first mark: dossiers of one school met on one target and a hot dossier waited there.

Change: internal/placement in eight small modules, without network; a laboratory under a paused clock that runs them on fake targets with the same arrivals for each policy; eight patterns and two fleets as data files; make measure prints the table. mtview also knows what requests taken but not yet computed will cache, or a burst on a cold prompt is scattered.

Conclusion: kept; tuning follows.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,11 @@
 proofs:
 	test/proofs.sh
 
+# The load patterns against the baselines, one tab-separated line each.
+# MEASURE=nested/riga takes one of them.
+measure:
+	@MEASURE=$${MEASURE:-all} go test -count=1 -timeout 20m -v -run '^TestMeasure$$' ./internal/lab/mtlab | grep -P '\t'
+
 # The whole path as separate processes on loopback.
 run-local: build
 	test/run-local.sh riga
--- /dev/null
+++ b/internal/lab/mtlab/placed.go
@@ -0,0 +1,71 @@
+package mtlab
+
+import (
+	"time"
+
+	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/internal/lab/mtfake"
+	"github.com/mustardtide/mustardtide/internal/lab/mtrequest"
+	"github.com/mustardtide/mustardtide/internal/placement/mtchoice"
+)
+
+// place chooses as the real entry does: candidates, offers where the entry's
+// knowledge is not fresh, an order.
+func (e *entry) place(c *placed, r *mtrequest.Request, then func([]*mtfake.Target)) {
+	choice := c.place.Choose(r.Chain(), r.Work().GetPrompt())
+	if choice.Fresh() {
+		then(e.ordered(c, choice))
+		return
+	}
+	left := choice.Len()
+	for i := range choice.Len() {
+		t := e.find(choice.Target(i).Name())
+		e.lab.loop.After(e.trip(t), func() {
+			matched, state := t.Promised(r.Chain()), t.State()
+			e.lab.loop.After(e.trip(t), func() {
+				c.place.Heard(state)
+				choice.Offered(i, matched, state.GetWait().AsDuration())
+				if left--; left == 0 {
+					c.place.Rank(choice)
+					then(e.ordered(c, choice))
+				}
+			})
+		})
+	}
+}
+
+// ordered turns a choice into targets and notes the first as sent.
+func (e *entry) ordered(c *placed, choice *mtchoice.Choice) []*mtfake.Target {
+	c.place.Sent(choice, 0)
+	var order []*mtfake.Target
+	for i := range choice.Len() {
+		order = append(order, e.find(choice.Target(i).Name()))
+	}
+	return order
+}
+
+func (e *entry) find(name string) *mtfake.Target {
+	for _, t := range e.lab.targets {
+		if t.Name() == name {
+			return t
+		}
+	}
+	return nil
+}
+
+func (e *entry) heard(state *mustardtidev1.State) {
+	if c, ok := e.chooser.(*placed); ok {
+		c.place.Heard(state)
+	}
+}
+
+// first feeds a first token back.
+func (e *entry) first(a *attemptOf, took time.Duration, cached uint64) {
+	c, ok := e.chooser.(*placed)
+	if !ok {
+		return
+	}
+	name := a.target().Name()
+	c.place.Missed(a.request.Chain(), name, cached)
+	c.place.First(name, took, a.wait, a.uncached)
+}
--- /dev/null
+++ b/internal/placement/mtplace/choose.go
@@ -0,0 +1,224 @@
+package mtplace
+
+import (
+	"math/bits"
+	"time"
+
+	"github.com/mustardtide/mustardtide/internal/placement/mtchoice"
+	"github.com/mustardtide/mustardtide/internal/placement/mtscore"
+	"github.com/mustardtide/mustardtide/internal/placement/mtwiden"
+	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
+)
+
+const (
+	// bytesPerToken turns a chain's span into tokens.
+	bytesPerToken = 4
+	// Probes bounds the targets that one request is offered to: two homes, the
+	// homes a level up and down, two remembered ones. Each costs a small call
+	// of some 50 microseconds; they run side by side.
+	Probes = 6
+	// tail is the share of a prompt taken for the caller's own question: the
+	// homes are named by the deepest power of two marks that leaves it out.
+	tail = 0.25
+	// holds is the share of a prompt that a target must have cached to count
+	// as a holder. What two dossiers of one school share is less, and must not
+	// draw all of them to one target.
+	holds = 0.5
+	// freshSighting and freshWord bound what may be trusted without an offer,
+	// and idle the wait up to which a mistake costs less than the offer.
+	freshSighting = time.Second
+	freshWord     = 100 * time.Millisecond
+	idle          = 5 * time.Millisecond
+	// plainSamples is the number of targets tried for a request without prefix.
+	plainSamples = 2
+)
+
+// Choose lists the candidates of a request, the best first by what this entry
+// knows; prompt is in tokens.
+func (p *Place) Choose(chain mtchain.Chain, prompt uint64) *mtchoice.Choice {
+	f := p.fleet.Load()
+	depth := homeDepth(chain.Len())
+	c := mtchoice.New(chain, prompt, depth)
+	if len(f.list) == 0 {
+		return c
+	}
+	if depth == 0 {
+		p.spread(f, c)
+	} else {
+		age := p.recall(f, c)
+		p.addHomes(f, c)
+		defer func() { c.SetFresh(p.fresh(c, age)) }()
+	}
+	p.price(c)
+	c.Sort(func(i int) bool { return !c.Target(i).Leaving() })
+	c.Cut(Probes)
+	return c
+}
+
+// homeDepth is the number of marks that name a prompt's homes: a power of
+// two, so that prompts of one dossier agree on it whatever their own length.
+func homeDepth(marks int) int {
+	shared := marks - int(float64(marks)*tail)
+	if shared == 0 {
+		return 0
+	}
+	return 1 << (bits.Len(uint(shared)) - 1)
+}
+
+// spread adds samples for a request without a prefix.
+func (p *Place) spread(f *fleet, c *mtchoice.Choice) {
+	for range plainSamples {
+		c.AddHome(p.sample(f))
+	}
+	for i := 0; c.Len() < plainSamples && i < len(f.list); i++ {
+		c.AddHome(f.list[i])
+	}
+}
+
+// recall adds the targets that were last seen with the deepest remembered
+// part of the prompt and returns the sighting's age.
+func (p *Place) recall(f *fleet, c *mtchoice.Choice) time.Duration {
+	chain := c.Chain()
+	for depth := chain.Len(); depth > 0; depth = below(depth) {
+		targets, age := p.memory.Find(chain.At(depth - 1))
+		if targets[0] == 0 {
+			continue
+		}
+		for _, id := range targets {
+			if t := f.byID[id]; t != nil && !t.Leaving() {
+				c.AddRemembered(t, uint64(depth*chain.Span()/bytesPerToken))
+			}
+		}
+		if c.Len() > 0 {
+			return age
+		}
+	}
+	return never
+}
+
+// never is the age of a sighting that never was.
+const never = time.Hour
+
+// below is the next depth, downwards, at which prefixes are remembered: the
+// powers of two and the halves between them.
+func below(depth int) int {
+	power := 1 << (bits.Len(uint(depth)) - 1)
+	half := power + power/2
+	switch {
+	case depth > half:
+		return half
+	case depth > power:
+		return power
+	default:
+		return power/2 + power/4
+	}
+}
+
+// addHomes adds the homes of the prompt: all that its prefix has now, the next
+// one in reserve, and one each a level up and down, where another entry may
+// have placed a prompt of another length.
+func (p *Place) addHomes(f *fleet, c *mtchoice.Choice) {
+	chain, depth := c.Chain(), c.Depth()
+	var space [mtwiden.Most + 1]int32
+	mark := chain.At(depth - 1)
+	width := p.widen.Width(mark)
+	for i, home := range f.homes.Append(space[:0], mark, width+1) {
+		if i < width {
+			c.AddHome(f.list[home])
+		} else {
+			c.AddReserve(f.list[home])
+		}
+	}
+	if 2*depth <= chain.Len() {
+		p.addNeighbour(f, c, 2*depth)
+	}
+	if depth > 1 {
+		p.addNeighbour(f, c, depth/2)
+	}
+}
+
+func (p *Place) addNeighbour(f *fleet, c *mtchoice.Choice, depth int) {
+	var space [1]int32
+	for _, home := range f.homes.Append(space[:0], c.Chain().At(depth-1), 1) {
+		c.AddNeighbour(f.list[home])
+	}
+}
+
+// fresh says that the best candidate was seen with the prefix and heard from
+// a moment ago, and is idle.
+func (p *Place) fresh(c *mtchoice.Choice, age time.Duration) bool {
+	if c.Len() == 0 || age > freshSighting {
+		return false
+	}
+	best := c.Target(0)
+	return holder(c, 0) && best.Age() < freshWord && best.Wait() < idle
+}
+
+// holder says that a candidate has cached enough of the prompt.
+func holder(c *mtchoice.Choice, i int) bool {
+	return float64(c.Matched(i)) >= holds*float64(c.Prompt()) && c.Matched(i) > 0
+}
+
+func (p *Place) price(c *mtchoice.Choice) {
+	for i := range c.Len() {
+		t := c.Target(i)
+		uncached := c.Prompt() - min(c.Prompt(), c.Matched(i))
+		c.Price(i, mtscore.Of(c.Wait(i), uncached, t.Prefill(), t.Distance(), p.demote.Slowness(t.ID())))
+	}
+}
+
+// Rank puts the candidates in the order to try them, after the offers.
+//
+// Where no target holds the prefix, the best of all gets it. Where some do,
+// the others wait for their turn until the prefix widens.
+func (p *Place) Rank(c *mtchoice.Choice) {
+	p.price(c)
+	best, spare := -1, -1
+	for i := range c.Len() {
+		switch {
+		case c.Refused(i):
+		case holder(c, i):
+			best = cheaper(c, best, i)
+		case c.Neighbour(i):
+		default:
+			spare = cheaper(c, spare, i)
+		}
+	}
+	if best < 0 || spare < 0 {
+		c.Sort(func(i int) bool { return holder(c, i) || !c.Neighbour(i) })
+		return
+	}
+	widened := p.widens(c, best, spare)
+	chosen := c.Target(spare)
+	c.Sort(func(i int) bool { return holder(c, i) || widened && c.Target(i) == chosen })
+}
+
+func cheaper(c *mtchoice.Choice, best, i int) int {
+	if best < 0 || c.Score(i) < c.Score(best) {
+		return i
+	}
+	return best
+}
+
+// widens reports whether the prefix gets one more home for this request.
+func (p *Place) widens(c *mtchoice.Choice, best, spare int) bool {
+	mark := c.Chain().At(c.Depth() - 1)
+	before := p.widen.Width(mark)
+	after := p.widen.Waited(mark, time.Duration(c.Score(best)), time.Duration(c.Score(spare)))
+	return after > before
+}
+
+// Homes gives the first n homes of a prompt, without memory; for tests and
+// operators.
+func (p *Place) Homes(chain mtchain.Chain, n int) []string {
+	f := p.fleet.Load()
+	depth := homeDepth(chain.Len())
+	if depth == 0 {
+		return nil
+	}
+	var list []string
+	for _, home := range f.homes.Append(nil, chain.At(depth-1), n) {
+		list = append(list, f.list[home].Name())
+	}
+	return list
+}
--- a/internal/prefix/mtview/view.go
+++ b/internal/prefix/mtview/view.go
@@ -13,11 +13,15 @@
 	mu          sync.RWMutex
 	incarnation string
 	marks       map[[mtchain.MarkSize]byte]struct{}
+	planned     map[[mtchain.MarkSize]byte]int
 }
 
 // New returns an empty view of no incarnation.
 func New() *View {
-	return &View{marks: map[[mtchain.MarkSize]byte]struct{}{}}
+	return &View{
+		marks:   map[[mtchain.MarkSize]byte]struct{}{},
+		planned: map[[mtchain.MarkSize]byte]int{},
+	}
 }
 
 // Start empties the view for a new incarnation: the cache of a target that
@@ -31,6 +35,7 @@
 	}
 	v.incarnation = incarnation
 	clear(v.marks)
+	clear(v.planned)
 	return true
 }
 
--- a/internal/standin/mtblocks/cache.go
+++ b/internal/standin/mtblocks/cache.go
@@ -32,6 +32,16 @@
 	return matched
 }
 
+// Peek counts the leading blocks that are held and leaves their order alone.
+func (c *Cache) Peek(blocks []uint64) int {
+	for i, block := range blocks {
+		if c.items[block] == nil {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
 // Store adds the blocks of a prompt and returns which were new and which were
 // evicted for them.
 func (c *Cache) Store(blocks []uint64) (stored, evicted []uint64) {
