Wire placement into entry and sidecar; draw no dossiers by their rules alone

Cause: choose.go took one rendezvous home. Change: parallel offers to the candidates, a rank by price, feedback from frames; Offer in its own file counts what taken runs will cache; the view is bound to the incarnation that the event stream was opened and confirmed with, learns what finished runs computed and is given up after three runs in a row that found less than it promised.

Found by TestNestedPromptsAreComputedOnce: eight trips of one school met on one engine of five, since each matched the school's rules there.

--- a/internal/lab/mtfake/target.go
+++ b/internal/lab/mtfake/target.go
@@ -41,7 +41,7 @@
 type job struct {
 	request *mtrequest.Request
 	answer  answer
-	plan    func()
+	plan    func() bool
 	missing uint64
 	began   time.Duration
 }
--- a/internal/lab/mtlab/placed.go
+++ b/internal/lab/mtlab/placed.go
@@ -36,7 +36,7 @@
 
 // ordered turns a choice into targets and notes the first as sent.
 func (e *entry) ordered(c *placed, choice *mtchoice.Choice) []*mtfake.Target {
-	c.place.Sent(choice, 0)
+	c.place.Sent(choice, choice.Target(0).Name())
 	var order []*mtfake.Target
 	for i := range choice.Len() {
 		order = append(order, e.find(choice.Target(i).Name()))
--- a/internal/placement/mtchoice/choice.go
+++ b/internal/placement/mtchoice/choice.go
@@ -94,6 +94,11 @@
 // Target is the i-th candidate.
 func (c *Choice) Target(i int) *mttarget.Target { return c.list[i].target }
 
+// Find returns the number of a target, or -1.
+func (c *Choice) Find(name string) int {
+	return slices.IndexFunc(c.list, func(known candidate) bool { return known.target.Name() == name })
+}
+
 // Matched is the tokens of the prompt that the i-th candidate has cached, as
 // far as is known.
 func (c *Choice) Matched(i int) uint64 { return c.list[i].matched }
--- a/internal/placement/mtplace/choose.go
+++ b/internal/placement/mtplace/choose.go
@@ -50,7 +50,7 @@
 		defer func() { c.SetFresh(p.fresh(c, age)) }()
 	}
 	p.price(c)
-	c.Sort(func(i int) bool { return !c.Target(i).Leaving() })
+	c.Sort(func(i int) bool { return c.Target(i).Usable() })
 	c.Cut(Probes)
 	return c
 }
@@ -76,16 +76,17 @@
 }
 
 // recall adds the targets that were last seen with the deepest remembered
-// part of the prompt and returns the sighting's age.
+// part of the prompt and returns the sighting's age. Parts that are too short
+// to make a holder are not looked for.
 func (p *Place) recall(f *fleet, c *mtchoice.Choice) time.Duration {
 	chain := c.Chain()
-	for depth := chain.Len(); depth > 0; depth = below(depth) {
+	for depth := chain.Len(); float64(depth) >= holds*float64(chain.Len()); depth = below(depth) {
 		targets, age := p.memory.Find(chain.At(depth - 1))
 		if targets[0] == 0 {
 			continue
 		}
 		for _, id := range targets {
-			if t := f.byID[id]; t != nil && !t.Leaving() {
+			if t := f.byID[id]; t != nil && t.Usable() {
 				c.AddRemembered(t, uint64(depth*chain.Span()/bytesPerToken))
 			}
 		}
@@ -162,7 +163,10 @@
 func (p *Place) price(c *mtchoice.Choice) {
 	for i := range c.Len() {
 		t := c.Target(i)
-		uncached := c.Prompt() - min(c.Prompt(), c.Matched(i))
+		uncached := c.Prompt()
+		if holder(c, i) {
+			uncached -= min(c.Prompt(), c.Matched(i))
+		}
 		c.Price(i, mtscore.Of(c.Wait(i), uncached, t.Prefill(), t.Distance(), p.demote.Slowness(t.ID())))
 	}
 }
--- a/internal/placement/mtplace/learn.go
+++ b/internal/placement/mtplace/learn.go
@@ -21,9 +21,14 @@
 	t.Say(state.GetWait().AsDuration(), state.GetPrefill(), state.GetLeaving())
 }
 
-// Sent notes that a request goes to the i-th candidate: from now on the target
-// holds its prefix, or will before the next request can compute it.
-func (p *Place) Sent(c *mtchoice.Choice, i int) {
+// Sent notes that a request goes to a candidate: from now on the target holds
+// its prefix, or will before the next request can compute it. Other targets
+// are ignored.
+func (p *Place) Sent(c *mtchoice.Choice, target string) {
+	i := c.Find(target)
+	if i < 0 {
+		return
+	}
 	t := c.Target(i)
 	t.Send(mtscore.Compute(c.Prompt()-min(c.Prompt(), c.Matched(i)), t.Prefill()))
 	chain := c.Chain()
--- a/internal/placement/mttarget/target.go
+++ b/internal/placement/mttarget/target.go
@@ -7,6 +7,11 @@
 	"time"
 )
 
+// muteFor is how long a target that did not answer an offer gets no other:
+// each would cost its caller the offer's timeout. A busy moment, such as a
+// collection of garbage, is over by then.
+const muteFor = 2 * time.Second
+
 // Target joins a target's own last word with what this entry has sent since.
 // Requests read and write it without a lock.
 type Target struct {
@@ -21,6 +26,8 @@
 	prefill atomic.Uint64
 	leaving atomic.Bool
 
+	muted atomic.Int64
+
 	incarnation atomic.Pointer[string]
 }
 
@@ -42,8 +49,14 @@
 // Distance is the round trip to the target.
 func (t *Target) Distance() time.Duration { return t.distance }
 
-// Leaving says that the target's own word was that it leaves.
-func (t *Target) Leaving() bool { return t.leaving.Load() }
+// Mute notes that the target did not answer an offer.
+func (t *Target) Mute() { t.muted.Store(time.Now().Add(muteFor).UnixNano()) }
+
+// Usable says that the target may be offered work: it did not say that it
+// leaves and answered the last offer.
+func (t *Target) Usable() bool {
+	return !t.leaving.Load() && time.Now().UnixNano() >= t.muted.Load()
+}
 
 // Prefill is the target's prefill rate in tokens a second; 0 if unknown.
 func (t *Target) Prefill() float64 { return math.Float64frombits(t.prefill.Load()) }
--- a/internal/prefix/mtchain/chain.go
+++ b/internal/prefix/mtchain/chain.go
@@ -52,6 +52,13 @@
 	return Chain{marks: marks[:len(marks)/MarkSize*MarkSize], span: span}
 }
 
+// Salt keeps apart what may not be shared: another account's cache entries,
+// and those of another model, older weights or another adapter.
+func Salt(account, model, weights, adapter string) string {
+	const separator = "\x00"
+	return account + separator + model + separator + weights + separator + adapter
+}
+
 // Root is the link before the first granule.
 func Root(salt string) [MarkSize]byte {
 	return xxh3.HashString128(salt).Bytes()
--- a/internal/prefix/mtview/view.go
+++ b/internal/prefix/mtview/view.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
 )
@@ -13,14 +14,18 @@
 	mu          sync.RWMutex
 	incarnation string
 	marks       map[[mtchain.MarkSize]byte]struct{}
-	planned     map[[mtchain.MarkSize]byte]int
+	planned     map[[mtchain.MarkSize]byte]plan
+	learned     map[[mtchain.MarkSize]byte]time.Time
+	generation  uint64
+	strikes     int
 }
 
 // New returns an empty view of no incarnation.
 func New() *View {
 	return &View{
 		marks:   map[[mtchain.MarkSize]byte]struct{}{},
-		planned: map[[mtchain.MarkSize]byte]int{},
+		planned: map[[mtchain.MarkSize]byte]plan{},
+		learned: map[[mtchain.MarkSize]byte]time.Time{},
 	}
 }
 
@@ -34,8 +39,7 @@
 		return false
 	}
 	v.incarnation = incarnation
-	clear(v.marks)
-	clear(v.planned)
+	v.empty()
 	return true
 }
 
@@ -46,12 +50,20 @@
 	return v.incarnation
 }
 
-// Void empties the view after a gap in the events: what the gap removed is not
-// known.
+// Void empties the view after a gap in the events, or when they broke off: what
+// was removed meanwhile is not known.
 func (v *View) Void() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.empty()
+}
+
+func (v *View) empty() {
 	clear(v.marks)
+	clear(v.planned)
+	clear(v.learned)
+	v.strikes = 0
+	v.generation++
 }
 
 // Store adds a mark that the given incarnation cached; one of an earlier
@@ -69,14 +81,28 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	delete(v.marks, mark)
+	delete(v.learned, mark)
+	if p, ok := v.planned[mark]; ok {
+		v.planned[mark] = plan{count: p.count, removed: true}
+	}
+}
+
+// held says that the target has a mark cached.
+func (v *View) held(mark [mtchain.MarkSize]byte, now time.Time) bool {
+	if _, stored := v.marks[mark]; stored {
+		return true
+	}
+	until, learned := v.learned[mark]
+	return learned && now.Before(until)
 }
 
 // Match counts the leading marks of a chain that the target has cached.
 func (v *View) Match(chain mtchain.Chain) int {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
+	now := time.Now()
 	for i := range chain.Len() {
-		if _, held := v.marks[chain.At(i)]; !held {
+		if !v.held(chain.At(i), now) {
 			return i
 		}
 	}
--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -22,7 +22,7 @@
 func (e *Entry) answer(ctx context.Context, w http.ResponseWriter, t *task) {
 	out := newOutput(w, t)
 	refusal := mtrefusal.New(mtcode.NoTarget, t.service.GetName()).After(comeBack)
-	for i, member := range e.choose(t) {
+	for i, member := range e.choose(ctx, t) {
 		if i == maxAttempts {
 			break
 		}
--- a/internal/role/mtentry/attempt.go
+++ b/internal/role/mtentry/attempt.go
@@ -46,6 +46,7 @@
 	sent   time.Time
 	status uint32
 	acked  uint64
+	seen   feedback
 }
 
 // attempt runs a task on one target and passes the answer on. It returns nil
@@ -143,6 +144,7 @@
 	if err != nil {
 		return nil, false, err
 	}
+	a.learn(frame)
 	switch step := frame.GetStep().(type) {
 	case *mustardtidev1.Frame_Begin:
 		a.hear(step.Begin.GetState())
--- a/internal/role/mtentry/entry.go
+++ b/internal/role/mtentry/entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/zeebo/xxh3"
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/gen/mustardtide/v1/mustardtidev1connect"
@@ -34,6 +35,7 @@
 	evidence *mtevidence.Evidence
 	control  *mtcontrol.Control
 	clients  *clients
+	places   *places
 	started  time.Time
 	live     atomic.Int64
 	draining atomic.Bool
@@ -56,6 +58,7 @@
 	e.over, e.cut = context.WithCancel(context.Background())
 	e.evidence = mtevidence.New(e.list)
 	e.clients = newClients(network, e.peer)
+	e.places = newPlaces(process.GetDatacentre(), xxh3.HashString(process.GetName()))
 	e.control = mtcontrol.New(log, e.spread, e.list, e.status, e.drain)
 	return e
 }
--- a/internal/role/mtentry/serve.go
+++ b/internal/role/mtentry/serve.go
@@ -14,6 +14,7 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/outside/mtcaller"
+	"github.com/mustardtide/mustardtide/internal/placement/mtchoice"
 	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
 	"github.com/mustardtide/mustardtide/internal/settings/mtsnapshot"
 )
@@ -34,6 +35,8 @@
 	service *mustardtidev1.Service
 	left    time.Duration
 	stream  bool
+	// choice is set once the targets are chosen.
+	choice *mtchoice.Choice
 }
 
 // serve answers one caller.
@@ -163,7 +166,7 @@
 
 // measure fills in what placement and admission need of a model request.
 func (e *Entry) measure(work *mustardtidev1.Work, service *mustardtidev1.Service, request *mtcaller.Request) {
-	work.Salt = salt(work.GetAccount(), service)
+	work.Salt = mtchain.Salt(work.GetAccount(), service.GetModel(), service.GetWeights(), service.GetAdapter())
 	work.Prompt = uint64(len(request.Prompt()) / bytesPerToken)
 	work.Output = uint64(request.Tokens())
 	if work.GetOutput() == 0 {
@@ -174,13 +177,6 @@
 	}
 }
 
-// salt keeps apart what may not be shared: another account's cache entries,
-// and those of older weights or another adapter.
-func salt(account string, service *mustardtidev1.Service) string {
-	const separator = "\x00"
-	return account + separator + service.GetModel() + separator + service.GetWeights() + separator + service.GetAdapter()
-}
-
 func class(rule *mustardtidev1.Rule) mustardtidev1.Class {
 	if rule.GetClass() == "long" {
 		return mustardtidev1.Class_LONG
--- a/internal/role/mtsidecar/attempt.go
+++ b/internal/role/mtsidecar/attempt.go
@@ -44,6 +44,8 @@
 	// kept says that the run may not be repeated, so that it is not cancelled
 	// for want of a reader.
 	kept bool
+	// matched is the prompt tokens expected in the cache when the run came.
+	matched uint64
 
 	mu       sync.Mutex
 	orphan   *time.Timer
--- a/internal/role/mtsidecar/run.go
+++ b/internal/role/mtsidecar/run.go
@@ -10,19 +10,8 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
 	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
-	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
 )
 
-// Offer says what this target would make of a request.
-func (s *Sidecar) Offer(_ context.Context, ask *connect.Request[mustardtidev1.OfferRequest]) (*connect.Response[mustardtidev1.OfferReply], error) {
-	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
-	reply := &mustardtidev1.OfferReply{Peer: s.control.Peer(), State: s.state(), Matched: s.matched(ask.Msg.GetWork())}
-	if refusal := s.unfit(ask.Msg.GetWork()); refusal != nil {
-		reply.Refusal = refusal.Message()
-	}
-	return connect.NewResponse(reply), nil
-}
-
 // Run takes a request and streams its answer.
 func (s *Sidecar) Run(ctx context.Context, ask *connect.Request[mustardtidev1.RunRequest], stream *connect.ServerStream[mustardtidev1.Frame]) error {
 	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
@@ -31,7 +20,7 @@
 		return s.refuse(work, refusal, stream)
 	}
 	started := s.start(ask.Msg)
-	begin := &mustardtidev1.Frame_Begin{Begin: &mustardtidev1.Begin{State: s.state(), Matched: s.matched(work)}}
+	begin := &mustardtidev1.Frame_Begin{Begin: &mustardtidev1.Begin{State: s.state(), Matched: started.matched}}
 	if err := s.send(stream, work, 0, &mustardtidev1.Frame{Step: begin}); err != nil {
 		return err
 	}
@@ -121,6 +110,7 @@
 	ctx, cancel := context.WithTimeout(s.base, work.GetLeft().AsDuration())
 	added := newRun(cancel)
 	added.kept = work.GetKey() != ""
+	added.matched = s.matched(work)
 	started, fresh := s.runs.add(key, added)
 	if !fresh {
 		cancel()
@@ -137,6 +127,10 @@
 // execute waits for a slot and runs the request on the target.
 func (s *Sidecar) execute(ctx context.Context, ask *mustardtidev1.RunRequest, started *run) *mustardtidev1.Finish {
 	work := ask.GetWork()
+	s.own(work)
+	claimed := s.claim(work)
+	var finish *mustardtidev1.Finish
+	defer func() { s.settle(claimed, finish) }()
 	if err := s.admit.enter(ctx); err != nil {
 		return &mustardtidev1.Finish{Refusal: mtrefusal.New(mtcode.DeadlineTooNear, "").Message()}
 	}
@@ -146,7 +140,8 @@
 	}
 	s.note(mtkind.RunBegan, work, "")
 	emit := func(f *mustardtidev1.Frame) error { return started.take(ctx, f) }
-	finish, err := call(ctx, s.program(s.service()), work, ask.GetCall(), emit)
+	var err error
+	finish, err = call(ctx, s.program(s.service()), work, ask.GetCall(), emit)
 	if err != nil {
 		s.note(mtkind.RunFailed, work, err.Error())
 		return &mustardtidev1.Finish{Refusal: failure(ctx, started, err).Message()}
@@ -155,20 +150,6 @@
 	return finish
 }
 
-func (s *Sidecar) matched(work *mustardtidev1.Work) uint64 {
-	service := s.service()
-	if service == nil || len(work.GetChain()) == 0 {
-		return 0
-	}
-	span := int(service.GetGranule() * service.GetStride())
-	chain := mtchain.From(work.GetChain(), span)
-	return uint64(s.view.Match(chain) * span / bytesPerToken)
-}
-
-// bytesPerToken turns bytes of prompt into tokens where the engine has not
-// counted them yet.
-const bytesPerToken = 4
-
 func (s *Sidecar) note(kind mtkind.Kind, work *mustardtidev1.Work, text string) {
 	s.log.Add(kind, &mustardtidev1.Event{Run: work.GetRun(), Account: work.GetAccount(), Target: s.process.GetName(), Text: text})
 }
--- a/internal/role/mtsidecar/sidecar.go
+++ b/internal/role/mtsidecar/sidecar.go
@@ -46,8 +46,10 @@
 	targetOnce sync.Once
 	target     target
 	up         atomic.Bool
-	leaving    atomic.Bool
-	ends       []<-chan error
+	// reading ends the cache event stream that is open.
+	reading atomic.Pointer[context.CancelFunc]
+	leaving atomic.Bool
+	ends    []<-chan error
 }
 
 // New returns a sidecar with the given process settings.
--- a/internal/role/mtsidecar/watch.go
+++ b/internal/role/mtsidecar/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
@@ -63,15 +64,33 @@
 	switch t := s.program(service).(type) {
 	case engineTarget:
 		incarnation, err := t.Incarnation(ctx)
-		s.report(err == nil)
-		if err == nil && s.view.Start(incarnation) {
-			s.log.Add(mtkind.TargetIncarnation, &mustardtidev1.Event{Target: s.process.GetName(), Text: incarnation})
+		if err == nil {
+			s.incarnate(incarnation)
 		}
+		s.report(err == nil)
 	case serviceTarget:
 		s.report(t.Healthy(ctx) == nil)
 	}
 }
 
+// incarnate takes in the target's incarnation. A new one empties the view and
+// ends the cache event stream: its connection may lead to the dead engine's
+// and stay silent for good.
+func (s *Sidecar) incarnate(incarnation string) {
+	if !s.view.Start(incarnation) {
+		return
+	}
+	s.log.Add(mtkind.TargetIncarnation, &mustardtidev1.Event{Target: s.process.GetName(), Text: incarnation})
+	s.reread()
+}
+
+// reread ends the cache event stream; followCache opens the next one.
+func (s *Sidecar) reread() {
+	if cancel := s.reading.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 func (s *Sidecar) report(up bool) {
 	if s.up.Swap(up) == up {
 		return
@@ -94,13 +113,49 @@
 	if !ok {
 		return
 	}
-	incarnation := s.view.Incarnation()
-	stored := func(mark [mtchain.MarkSize]byte) { s.view.Store(incarnation, mark) }
-	gap := func() {
-		s.view.Void()
-		s.log.Add(mtkind.CacheGap, &mustardtidev1.Event{Target: s.process.GetName()})
-	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.reading.Store(&cancel)
+	reader := &cacheReader{sidecar: s, engine: engine, incarnation: s.view.Incarnation()}
 	// The end is reported by the probe as well, which knows its cause.
-	_ = engine.Follow(ctx, int(service.GetGranule()), int(service.GetStride()), stored, s.view.Remove, gap)
+	_ = engine.Follow(ctx, int(service.GetGranule()), int(service.GetStride()), reader)
 	s.view.Void()
 }
+
+// cacheReader passes one stream's events to the view.
+type cacheReader struct {
+	sidecar     *Sidecar
+	engine      engineTarget
+	incarnation string
+}
+
+// Opened asks for the incarnation again once the event stream is open. The
+// engine may have restarted since the last probe; the stream belongs to an
+// incarnation only if that was the one before the stream opened and after it.
+// Otherwise a dead engine's events would count as the new one's, or the other
+// way round, until the next restart.
+func (r *cacheReader) Opened(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	now, err := r.engine.Incarnation(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if now != r.incarnation {
+		r.sidecar.incarnate(now)
+		return trace.CompareFailed("the engine restarted while its cache events were opened")
+	}
+	return nil
+}
+
+// Stored takes in a mark that the engine cached.
+func (r *cacheReader) Stored(mark [mtchain.MarkSize]byte) { r.sidecar.view.Store(r.incarnation, mark) }
+
+// Removed takes in a mark that the engine evicted.
+func (r *cacheReader) Removed(mark [mtchain.MarkSize]byte) { r.sidecar.view.Remove(mark) }
+
+// Gap empties the view.
+func (r *cacheReader) Gap() {
+	r.sidecar.view.Void()
+	r.sidecar.log.Add(mtkind.CacheGap, &mustardtidev1.Event{Target: r.sidecar.process.GetName()})
+}
