Let a prefix below half a prompt draw its requests if it is one of many

Ruled out: counting every match, which draws a school's dossiers to one engine by their rules.

Change: an entry counts sightings per mark; a prefix that makes up less than half of one target's share of the requests counts as a holder's too.

--- a/internal/placement/mtchoice/choice.go
+++ b/internal/placement/mtchoice/choice.go
@@ -40,6 +40,7 @@
 	chain  mtchain.Chain
 	prompt uint64
 	depth  int
+	least  int
 	fresh  bool
 	list   []candidate
 }
@@ -59,6 +60,12 @@
 // Depth is the number of marks that name the prompt's homes; 0 for none.
 func (c *Choice) Depth() int { return c.depth }
 
+// Least is the number of marks that make a target a holder of the prompt.
+func (c *Choice) Least() int { return c.least }
+
+// SetLeast sets the number of marks that make a target a holder.
+func (c *Choice) SetLeast(marks int) { c.least = marks }
+
 // Fresh says that what the entry knows is new enough to run without offers.
 func (c *Choice) Fresh() bool { return c.fresh }
 
--- a/internal/placement/mtmemory/memory.go
+++ b/internal/placement/mtmemory/memory.go
@@ -33,6 +33,7 @@
 type sighting struct {
 	tag     uint64
 	seen    int64
+	count   tally
 	targets [Holders]uint32
 }
 
@@ -40,6 +41,9 @@
 type Memory struct {
 	locks [stripes]sync.Mutex
 	table []sighting
+
+	counting sync.Mutex
+	all      tally
 }
 
 // New returns an empty memory.
@@ -62,6 +66,7 @@
 		*entry = sighting{tag: tag}
 	}
 	entry.seen = now
+	entry.count.add(now)
 	entry.push(target)
 }
 
@@ -90,6 +95,35 @@
 	s.targets[0] = target
 }
 
+// Count counts a request, for shares.
+func (m *Memory) Count() {
+	m.counting.Lock()
+	defer m.counting.Unlock()
+	m.all.add(time.Now().UnixNano())
+}
+
+// Requests is the number of requests of late.
+func (m *Memory) Requests() float64 {
+	m.counting.Lock()
+	defer m.counting.Unlock()
+	return m.all.now(time.Now().UnixNano())
+}
+
+// Sightings is the number of requests of late that had a mark.
+func (m *Memory) Sightings(mark [mtchain.MarkSize]byte) float64 {
+	tag, set := place(mark)
+	lock := &m.locks[set%stripes]
+	lock.Lock()
+	defer lock.Unlock()
+	for i := range m.table[set*ways : (set+1)*ways] {
+		entry := &m.table[set*ways+i]
+		if entry.tag == tag {
+			return entry.count.now(time.Now().UnixNano())
+		}
+	}
+	return 0
+}
+
 // Forget drops a target from a mark: it turned out not to hold it.
 func (m *Memory) Forget(mark [mtchain.MarkSize]byte, target uint32) {
 	tag, set := place(mark)
--- a/internal/placement/mtplace/choose.go
+++ b/internal/placement/mtplace/choose.go
@@ -1,6 +1,7 @@
 package mtplace
 
 import (
+	"math"
 	"math/bits"
 	"time"
 
@@ -21,9 +22,16 @@
 	// homes are named by the deepest power of two marks that leaves it out.
 	tail = 0.25
 	// holds is the share of a prompt that a target must have cached to count
-	// as a holder. What two dossiers of one school share is less, and must not
-	// draw all of them to one target.
+	// as a holder whatever the prefix. What the dossiers of one school share is
+	// less, and must not draw all of them to one target.
 	holds = 0.5
+	// fair is the part of one target's share of the requests up to which a
+	// shorter prefix may draw its requests to one target: twice the load that a
+	// prefix seems to have still fits there.
+	fair = 0.5
+	// evidence is the requests per target that must have been seen to tell a
+	// prefix's share: with fewer, one more sighting decides.
+	evidence = 4
 	// freshSighting and freshWord bound what may be trusted without an offer,
 	// and idle the wait up to which a mistake costs less than the offer.
 	freshSighting = time.Second
@@ -45,6 +53,7 @@
 	if depth == 0 {
 		p.spread(f, c)
 	} else {
+		c.SetLeast(p.least(f, chain))
 		age := p.recall(f, c)
 		p.addHomes(f, c)
 		defer func() { c.SetFresh(p.fresh(c, age)) }()
@@ -76,11 +85,10 @@
 }
 
 // recall adds the targets that were last seen with the deepest remembered
-// part of the prompt and returns the sighting's age. Parts that are too short
-// to make a holder are not looked for.
+// part of the prompt and returns the sighting's age.
 func (p *Place) recall(f *fleet, c *mtchoice.Choice) time.Duration {
 	chain := c.Chain()
-	for depth := chain.Len(); float64(depth) >= holds*float64(chain.Len()); depth = below(depth) {
+	for depth := chain.Len(); depth >= c.Least(); depth = below(depth) {
 		targets, age := p.memory.Find(chain.At(depth - 1))
 		if targets[0] == 0 {
 			continue
@@ -97,6 +105,25 @@
 	return never
 }
 
+// least is the number of marks that a target must hold of a prompt to count as
+// a holder: half of them, or fewer where the shorter prefix makes up less than
+// one target's share of the requests.
+func (p *Place) least(f *fleet, chain mtchain.Chain) int {
+	least := int(math.Ceil(holds * float64(chain.Len())))
+	requests := p.memory.Requests()
+	if requests < evidence*float64(len(f.list)) {
+		return least
+	}
+	limit := fair * requests / float64(len(f.list))
+	for depth := below(least); depth > 0; depth = below(depth) {
+		if p.memory.Sightings(chain.At(depth-1)) > limit {
+			break
+		}
+		least = depth
+	}
+	return least
+}
+
 // never is the age of a sighting that never was.
 const never = time.Hour
 
@@ -157,7 +184,7 @@
 
 // holder says that a candidate has cached enough of the prompt.
 func holder(c *mtchoice.Choice, i int) bool {
-	return float64(c.Matched(i)) >= holds*float64(c.Prompt()) && c.Matched(i) > 0
+	return c.Matched(i) > 0 && c.Matched(i) >= uint64(c.Least()*c.Chain().Span()/bytesPerToken)
 }
 
 func (p *Place) price(c *mtchoice.Choice) {
--- a/internal/placement/mtplace/learn.go
+++ b/internal/placement/mtplace/learn.go
@@ -31,6 +31,7 @@
 	}
 	t := c.Target(i)
 	t.Send(mtscore.Compute(c.Prompt()-min(c.Prompt(), c.Matched(i)), t.Prefill()))
+	p.memory.Count()
 	chain := c.Chain()
 	for depth := chain.Len(); depth > 0; depth = below(depth) {
 		p.memory.See(chain.At(depth-1), t.ID())
