Merge branch 'main' into area/placement

Cause: the area needed the other areas' state. Change: a merge into the area's branch, conflicts solved there.

--- a/internal/role/mtsidecar/offer.go
+++ b/internal/role/mtsidecar/offer.go
@@ -34,8 +34,8 @@
 	return uint64(s.view.Promise(chain) * span / bytesPerToken)
 }
 
-// claim is what the view held for a run when it was handed to the target.
-type claim struct {
+// expectation is what the view held for a run when it was handed to the target.
+type expectation struct {
 	chain       mtchain.Chain
 	span        int
 	held        int
@@ -43,10 +43,10 @@
 	done        func() bool
 }
 
-// claim tells the view what a run will cache and keeps what it held before.
-func (s *Sidecar) claim(work *mustardtidev1.Work) *claim {
+// expect tells the view what a run will cache and keeps what it held before.
+func (s *Sidecar) expect(work *mustardtidev1.Work) *expectation {
 	chain, span := s.chain(work)
-	return &claim{
+	return &expectation{
 		chain:       chain,
 		span:        span,
 		held:        s.view.Match(chain),
@@ -59,14 +59,14 @@
 // finished run computed is cached now, and a view that promised more than the
 // engine found, time after time, missed removals. Without it such a view draws
 // requests here for good.
-func (s *Sidecar) settle(c *claim, finish *mustardtidev1.Finish) {
-	sure := c.done()
-	if c.span == 0 || !finish.GetComplete() || finish.GetPrompt() == 0 {
+func (s *Sidecar) settle(x *expectation, finish *mustardtidev1.Finish) {
+	sure := x.done()
+	if x.span == 0 || !finish.GetComplete() || finish.GetPrompt() == 0 {
 		return
 	}
-	s.view.Learn(c.incarnation, c.chain)
-	found := int(finish.GetCached()) * bytesPerToken / c.span
-	if sure && s.view.Judge(c.held, found) {
+	s.view.Learn(x.incarnation, x.chain)
+	found := int(finish.GetCached()) * bytesPerToken / x.span
+	if sure && s.view.Judge(x.held, found) {
 		s.log.Add(mtkind.CacheVoid, &mustardtidev1.Event{Target: s.process.GetName()})
 		s.reread()
 	}
--- a/internal/role/mtsidecar/run.go
+++ b/internal/role/mtsidecar/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"connectrpc.com/connect"
 
@@ -80,14 +79,11 @@
 	return refusal
 }
 
-// Claim is answered by the claims' home; this version has none.
-func (s *Sidecar) Claim(context.Context, *connect.Request[mustardtidev1.ClaimRequest]) (*connect.Response[mustardtidev1.ClaimReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("no claims yet"))
-}
-
 // unfit says why no new work is taken now, or nil.
 func (s *Sidecar) unfit(work *mustardtidev1.Work) *mtrefusal.Refusal {
 	switch {
+	case s.began(work):
+		return nil
 	case s.leaving.Load():
 		return mtrefusal.New(mtcode.Leaving, s.process.GetName())
 	case work.GetService() != s.process.GetService():
@@ -111,6 +107,7 @@
 	added := newRun(cancel)
 	added.kept = work.GetKey() != ""
 	added.matched = s.matched(work)
+	s.own(work)
 	started, fresh := s.runs.add(key, added)
 	if !fresh {
 		cancel()
@@ -119,29 +116,37 @@
 	go func() {
 		defer s.runs.end(key)
 		defer cancel()
-		started.buffer.Finish(s.execute(ctx, ask, started))
+		expected := s.expect(work)
+		finish := s.execute(ctx, ask, started)
+		s.settle(expected, finish)
+		started.buffer.Finish(finish)
 	}()
 	return started
 }
 
 // execute waits for a slot and runs the request on the target.
 func (s *Sidecar) execute(ctx context.Context, ask *mustardtidev1.RunRequest, started *run) *mustardtidev1.Finish {
-	work := ask.GetWork()
-	s.own(work)
-	claimed := s.claim(work)
-	var finish *mustardtidev1.Finish
-	defer func() { s.settle(claimed, finish) }()
+	if known := s.attach(ctx, ask.GetWork(), started); known != nil {
+		return known
+	}
 	if err := s.admit.enter(ctx); err != nil {
 		return &mustardtidev1.Finish{Refusal: mtrefusal.New(mtcode.DeadlineTooNear, "").Message()}
 	}
 	defer s.admit.leave()
+	if ask.GetWork().GetKey() != "" {
+		return s.executeOnce(ctx, ask, started)
+	}
 	if !started.begin() {
 		return &mustardtidev1.Finish{Refusal: mtrefusal.New(mtcode.CallerGone, "").Message()}
 	}
+	return s.perform(ctx, ask, started, func(f *mustardtidev1.Frame) error { return started.take(ctx, f) })
+}
+
+// perform hands a begun run to the target.
+func (s *Sidecar) perform(ctx context.Context, ask *mustardtidev1.RunRequest, started *run, emit func(*mustardtidev1.Frame) error) *mustardtidev1.Finish {
+	work := ask.GetWork()
 	s.note(mtkind.RunBegan, work, "")
-	emit := func(f *mustardtidev1.Frame) error { return started.take(ctx, f) }
-	var err error
-	finish, err = call(ctx, s.program(s.service()), work, ask.GetCall(), emit)
+	finish, err := call(ctx, s.program(s.service()), work, ask.GetCall(), emit)
 	if err != nil {
 		s.note(mtkind.RunFailed, work, err.Error())
 		return &mustardtidev1.Finish{Refusal: failure(ctx, started, err).Message()}
