Check settings whole, submit them in pieces, settle lost answers

Cause: the thin path took a file's first fault only, merged proto3 scalars without presence, wrote a file as one chunk and believed a failed write.

Ruled out: an overlay laid key by key over YAML nodes (presence without optional, but a second merge beside the schema's); one chunk a file (12,000 accounts take 1.9 MB, over the platform's 1 MB, and each change moves all); fixed ranges of lines (an account added at the top moves every chunk behind it); garbage collection by listing all chunks (reads them all, and races with a submit that names a chunk again).

Change: scalar fields are optional, so that 0, false and "" given in an overlay win. mtschema goes on after a fault; mtcheck validates the merged result of each data centre and lists all findings (501). mtpiece cuts files at content-defined entries, mtcompile reads changed pieces only. A submit is one conditional update; a lost answer is settled by reading back the submission, also under 16 later ones; else 503. Rules are found in four look-ups. The list of instances carries its age and re-opens its watch within 15 s, since a silent one shows no error.

Conclusion: settings are checked whole before anything is written.

--- a/internal/command/mttable/submit.go
+++ b/internal/command/mttable/submit.go
@@ -11,70 +11,120 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/gravitational/trace"
 
-	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/internal/command/mtfailure"
+	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
 	"github.com/mustardtide/mustardtide/internal/outside/mtplatform"
+	"github.com/mustardtide/mustardtide/internal/settings/mtcheck"
 	"github.com/mustardtide/mustardtide/internal/settings/mtmanifest"
-	"github.com/mustardtide/mustardtide/internal/settings/mtschema"
-	"github.com/mustardtide/mustardtide/internal/settings/mtspread"
 )
 
-func bindSubmit(c *kingpin.CmdClause) action {
-	platform := c.Flag("platform", "URL of the platform's object API.").Required().String()
-	namespace := c.Flag("namespace", "Namespace of the system's objects.").Default("default").String()
-	base := c.Flag("base", "The base file.").String()
-	overlays := c.Flag("overlay", "An overlay; may be given more than once.").Strings()
-	return func(ctx context.Context, out io.Writer) error {
-		texts, err := readFiles(*base, *overlays)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		client := mtplatform.New(*platform, *namespace, http.DefaultTransport)
-		return submit(ctx, out, client, texts)
+// platformFlags name the platform that a command speaks to.
+type platformFlags struct {
+	url       *string
+	namespace *string
+}
+
+func bindPlatform(c *kingpin.CmdClause) platformFlags {
+	return platformFlags{
+		url:       c.Flag("platform", "URL of the platform's object API.").Envar("MUSTARDTIDE_PLATFORM").Required().String(),
+		namespace: c.Flag("namespace", "Namespace of the system's objects.").Default("default").Envar("MUSTARDTIDE_NAMESPACE").String(),
 	}
 }
 
-// readFiles gives the texts by their names in the manifest.
-func readFiles(base string, overlays []string) (map[string][]byte, error) {
-	texts := map[string][]byte{}
-	if base != "" {
-		text, err := os.ReadFile(base)
-		if err != nil {
-			return nil, trace.ConvertSystemError(err)
-		}
-		texts[mtspread.BaseName] = text
+func (p platformFlags) client() *mtplatform.Client {
+	return mtplatform.New(*p.url, *p.namespace, http.DefaultTransport)
+}
+
+// submission is one operator's submit.
+type submission struct {
+	files    settingsFiles
+	removed  *[]string
+	revision *int64
+	out      io.Writer
+	client   *mtplatform.Client
+}
+
+// anyRevision stands for a submit that is not bound to a revision.
+const anyRevision = "-1"
+
+func bindSubmit(c *kingpin.CmdClause) action {
+	platform := bindPlatform(c)
+	s := submission{
+		files:    bindFiles(c),
+		removed:  c.Flag("remove", "A data centre whose overlay is taken out of force; may be given more than once.").Strings(),
+		revision: c.Flag("revision", "Submit only if this revision is in force: the one that the edit is based on, as printed by show.").Default(anyRevision).Int64(),
 	}
-	for _, path := range overlays {
-		text, err := os.ReadFile(path)
-		if err != nil {
-			return nil, trace.ConvertSystemError(err)
-		}
-		overlay := &mustardtidev1.Overlay{}
-		if err := mtschema.New(path).Decode(text, overlay); err != nil {
-			return nil, trace.Wrap(err)
-		}
-		texts[overlay.GetDatacentre()] = text
+	return func(ctx context.Context, out io.Writer) error {
+		s.out = out
+		s.client = platform.client()
+		return s.submit(ctx)
 	}
-	return texts, nil
 }
 
-func submit(ctx context.Context, out io.Writer, client *mtplatform.Client, texts map[string][]byte) error {
-	held, err := mtmanifest.Load(ctx, client, nil)
+func (s submission) submit(ctx context.Context) error {
+	held, err := load(ctx, s.client)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	next := held.Next(rand.Text(), os.Getenv("USER"), texts)
-	base, err := mtspread.Compile(next, "")
+	checker := mtcheck.New()
+	texts, err := s.files.read(checker, held, *s.removed)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	for _, datacentre := range base.GetDatacentres() {
-		if _, err := mtspread.Compile(next, datacentre); err != nil {
-			return trace.Wrap(err)
-		}
+	if *s.revision >= 0 && uint64(*s.revision) != held.Revision() {
+		return raced(held, held.Next("", "", texts), fmt.Sprintf("revision %d is in force, not %d", held.Revision(), *s.revision))
 	}
-	if err := held.Save(ctx, client, next); err != nil {
+	if err := invalid(checker.Check()); err != nil {
 		return trace.Wrap(err)
 	}
-	fmt.Fprintf(out, "revision %d is accepted\n", next.Revision())
+	next := held.Next(rand.Text(), os.Getenv("USER"), texts)
+	if err := held.Save(ctx, s.client, next); err != nil {
+		return s.failed(ctx, held, next, err)
+	}
+	fmt.Fprintf(s.out, "revision %d is accepted: %s\n", next.Revision(), checker.Summary())
+	if err := held.Retire(ctx, s.client, next); err != nil {
+		fmt.Fprintf(s.out, "chunks that are no longer needed stay for now: %s\n", trace.UserMessage(err))
+	}
 	return nil
 }
+
+// failed tells an operator whose submit was not accepted why.
+func (s submission) failed(ctx context.Context, held, next *mtmanifest.Manifest, err error) error {
+	text := trace.UserMessage(err)
+	switch {
+	case trace.IsCompareFailed(err):
+		newer, loadErr := load(ctx, s.client)
+		if loadErr != nil {
+			return mtfailure.New(mtcode.SettingsRaced, text)
+		}
+		return raced(held, newer, fmt.Sprintf("revision %d came before this submit, which was based on %d", newer.Revision(), held.Revision()))
+	case trace.IsConnectionProblem(err):
+		return mtfailure.New(mtcode.SettingsUnsure, fmt.Sprintf("submission %s, revision %d: %s", next.Head().GetSubmission(), next.Revision(), text))
+	case trace.IsLimitExceeded(err):
+		return mtfailure.New(mtcode.SettingsTooLarge, text)
+	case trace.IsNotFound(err):
+		return mtfailure.New(mtcode.PlatformDown, "nothing was submitted: "+text)
+	default:
+		return trace.Wrap(err)
+	}
+}
+
+// raced tells the difference between two manifests.
+func raced(before, after *mtmanifest.Manifest, text string) error {
+	return mtfailure.New(mtcode.SettingsRaced, text+"\n"+difference(before, after))
+}
+
+// load reads the manifest in force.
+func load(ctx context.Context, client *mtplatform.Client) (*mtmanifest.Manifest, error) {
+	held, err := mtmanifest.Load(ctx, client, nil)
+	switch {
+	case err == nil:
+		return held, nil
+	case trace.IsLimitExceeded(err):
+		return nil, mtfailure.New(mtcode.PlatformLimited, trace.UserMessage(err))
+	case trace.IsConnectionProblem(err):
+		return nil, mtfailure.New(mtcode.PlatformDown, trace.UserMessage(err))
+	default:
+		return nil, trace.Wrap(err)
+	}
+}
--- a/internal/command/mttable/table.go
+++ b/internal/command/mttable/table.go
@@ -27,7 +27,10 @@
 var table = []command{
 	{"entry", "Run an entry: take callers' requests behind the balancer.", bindEntry},
 	{"sidecar", "Run a sidecar beside a target.", bindSidecar},
+	{"check", "Check a base file and overlays without submitting them.", bindCheck},
 	{"submit", "Put a base file or overlays in force everywhere.", bindSubmit},
+	{"show", "Show the settings in force.", bindShow},
+	{"diff", "Show how files differ from the settings in force.", bindDiff},
 	{"status", "Show every process and its target.", bindStatus},
 	{"timeline", "Show the events of all processes in one order.", bindTimeline},
 	{"drain", "Let one process take no new work and finish what it has.", bindDrain},
--- a/internal/outside/mtplatform/instances.go
+++ b/internal/outside/mtplatform/instances.go
@@ -64,8 +64,9 @@
 }
 
 // WatchInstances calls each with the members of every slice that changes after
-// the given version; a deleted slice has none. It ends as Watch does.
-func (c *Client) WatchInstances(ctx context.Context, after string, each func(name string, members []*mustardtidev1.Member)) error {
+// the given version, and the version to go on from; a deleted slice has none.
+// It ends as Watch does.
+func (c *Client) WatchInstances(ctx context.Context, after string, each func(name, version string, members []*mustardtidev1.Member)) error {
 	return c.follow(ctx, c.slices()+"?allowWatchBookmarks=true"+watchQuery(after), func(event watchEvent) error {
 		var changed slice
 		if err := json.Unmarshal(event.Object, &changed); err != nil {
@@ -74,7 +75,7 @@
 		if event.Type == "DELETED" {
 			changed.Endpoints = nil
 		}
-		each(changed.Metadata.Name, changed.members())
+		each(changed.Metadata.Name, changed.Metadata.ResourceVersion, changed.members())
 		return nil
 	})
 }
--- a/internal/role/mtcontrol/control.go
+++ b/internal/role/mtcontrol/control.go
@@ -37,27 +37,6 @@
 	}
 }
 
-// Pull gives the settings in force and the last known list of instances.
-func (c *Control) Pull(_ context.Context, ask *connect.Request[mustardtidev1.PullRequest]) (*connect.Response[mustardtidev1.PullReply], error) {
-	c.log.Clock().See(ask.Msg.GetPeer().GetStamp())
-	reply := &mustardtidev1.PullReply{Peer: c.Peer(), Members: c.list.All()}
-	manifest := c.spread.Manifest()
-	if manifest.Revision() <= ask.Msg.GetPeer().GetRevision() {
-		return connect.NewResponse(reply), nil
-	}
-	reply.Manifest = manifest.Head()
-	have := map[string]bool{}
-	for _, digest := range ask.Msg.GetHave() {
-		have[digest] = true
-	}
-	for _, file := range manifest.Head().GetFiles() {
-		if !have[file.GetDigest()] {
-			reply.Chunks = append(reply.Chunks, &mustardtidev1.Chunk{Digest: file.GetDigest(), Text: manifest.Chunk(file.GetDigest())})
-		}
-	}
-	return connect.NewResponse(reply), nil
-}
-
 // Status describes the process.
 func (c *Control) Status(_ context.Context, ask *connect.Request[mustardtidev1.StatusRequest]) (*connect.Response[mustardtidev1.StatusReply], error) {
 	c.log.Clock().See(ask.Msg.GetPeer().GetStamp())
--- a/internal/settings/mtsnapshot/snapshot.go
+++ b/internal/settings/mtsnapshot/snapshot.go
@@ -20,6 +20,13 @@
 	keys     map[string]*mustardtidev1.Account
 	services map[string]*mustardtidev1.Service
 	models   map[string]*mustardtidev1.Service
+	rules    map[ruleKey]int
+}
+
+// ruleKey is the pair of patterns that a rule applies to.
+type ruleKey struct {
+	account string
+	service string
 }
 
 // New compiles merged settings.
@@ -30,6 +37,7 @@
 		keys:     map[string]*mustardtidev1.Account{},
 		services: map[string]*mustardtidev1.Service{},
 		models:   map[string]*mustardtidev1.Service{},
+		rules:    map[ruleKey]int{},
 	}
 	for _, account := range merged.GetAccounts() {
 		for _, hash := range account.GetHashes() {
@@ -38,8 +46,18 @@
 	}
 	for _, service := range merged.GetServices() {
 		s.services[service.GetName()] = service
-		if service.GetModel() != "" {
-			s.models[service.GetModel()] = service
+		if model := service.GetModel(); model != "" {
+			_, ambiguous := s.models[model]
+			s.models[model] = service
+			if ambiguous {
+				s.models[model] = nil
+			}
+		}
+	}
+	for i, rule := range merged.GetRules() {
+		key := ruleKey{account: pattern(rule.GetAccount()), service: pattern(rule.GetService())}
+		if _, known := s.rules[key]; !known {
+			s.rules[key] = i
 		}
 	}
 	return s
@@ -61,7 +79,8 @@
 func (s *Snapshot) Service(name string) *mustardtidev1.Service { return s.services[name] }
 
 // Model returns the service that runs a model, or nil. A service's own name
-// is taken as well, so that two services may run the same model.
+// is taken as well: where two services run the same model, only their names
+// address them, since the model's would send a request to either.
 func (s *Snapshot) Model(model string) *mustardtidev1.Service {
 	if service := s.services[model]; service != nil && service.GetKind() == "model" {
 		return service
@@ -69,14 +88,20 @@
 	return s.models[model]
 }
 
-// Rule returns the first rule that fits, or an empty one.
+// Rule returns the first rule that fits, or an empty one. Its cost does not
+// grow with the number of rules: four look-ups find every rule that can fit.
 func (s *Snapshot) Rule(account, service string) *mustardtidev1.Rule {
-	for _, rule := range s.base.GetRules() {
-		if fits(rule.GetAccount(), account) && fits(rule.GetService(), service) {
-			return rule
+	rules := s.base.GetRules()
+	first := len(rules)
+	for _, key := range [...]ruleKey{{account, service}, {account, anyName}, {anyName, service}, {anyName, anyName}} {
+		if i, ok := s.rules[key]; ok {
+			first = min(first, i)
 		}
 	}
-	return &mustardtidev1.Rule{}
+	if first == len(rules) {
+		return &mustardtidev1.Rule{}
+	}
+	return rules[first]
 }
 
 // Deadline is the time that a request of this account and service has if its
@@ -88,6 +113,10 @@
 	return service.GetDeadline().AsDuration()
 }
 
-func fits(pattern, name string) bool {
-	return pattern == anyName || pattern == "" || pattern == name
+// pattern reads a rule's account or service; one that is left out means any.
+func pattern(name string) string {
+	if name == "" {
+		return anyName
+	}
+	return name
 }
--- a/internal/settings/mtspread/spread.go
+++ b/internal/settings/mtspread/spread.go
@@ -11,16 +11,12 @@
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtevent"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/settings/mtcompile"
 	"github.com/mustardtide/mustardtide/internal/settings/mtmanifest"
 	"github.com/mustardtide/mustardtide/internal/settings/mtmerge"
-	"github.com/mustardtide/mustardtide/internal/settings/mtschema"
 	"github.com/mustardtide/mustardtide/internal/settings/mtsnapshot"
 )
 
-// BaseName is the base file's name in a manifest; overlays have their data
-// centre's.
-const BaseName = "base"
-
 // held is a manifest with the snapshot built from it.
 type held struct {
 	manifest *mtmanifest.Manifest
@@ -33,13 +29,14 @@
 	log        *mtevent.Log
 	held       atomic.Pointer[held]
 
-	mu    sync.Mutex
-	ready chan struct{}
+	mu       sync.Mutex
+	compiler *mtcompile.Compiler
+	ready    chan struct{}
 }
 
 // New returns a Spread without settings for a process in a data centre.
 func New(datacentre string, log *mtevent.Log) *Spread {
-	s := &Spread{datacentre: datacentre, log: log, ready: make(chan struct{})}
+	s := &Spread{datacentre: datacentre, log: log, compiler: mtcompile.New(), ready: make(chan struct{})}
 	s.held.Store(&held{manifest: mtmanifest.Empty(), snapshot: mtsnapshot.New(0, &mustardtidev1.Base{})})
 	return s
 }
@@ -62,7 +59,7 @@
 	if m.Revision() <= before {
 		return nil
 	}
-	merged, err := Compile(m, s.datacentre)
+	merged, err := s.compiler.Compile(m.Pieces(mtmerge.BaseName), m.Pieces(s.datacentre))
 	if err != nil {
 		s.log.Add(mtkind.SettingsRejected, &mustardtidev1.Event{Text: err.Error()})
 		return trace.Wrap(err)
@@ -74,20 +71,3 @@
 	}
 	return nil
 }
-
-// Compile reads a manifest's texts and merges them for a data centre.
-func Compile(m *mtmanifest.Manifest, datacentre string) (*mustardtidev1.Base, error) {
-	base := &mustardtidev1.Base{}
-	if err := mtschema.New(BaseName).Decode(m.Text(BaseName), base); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	text := m.Text(datacentre)
-	if text == nil {
-		return base, nil
-	}
-	overlay := &mustardtidev1.Overlay{}
-	if err := mtschema.New(datacentre).Decode(text, overlay); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return mtmerge.Merge(base, overlay), nil
-}
