--- a/internal/standin/mtengine/engine.go
+++ b/internal/standin/mtengine/engine.go
@@ -30,7 +30,7 @@
 	decode  time.Duration
 	started time.Time
 
-	prefilling sync.Mutex
+	prefilling chan struct{} // a mutex held in a sleep would stop a paused clock
 	mu         sync.Mutex
 	cache      *mtblocks.Cache
 	events     events
@@ -46,12 +46,13 @@
 // second, a time between tokens and a cache of so many blocks.
 func New(slots int, prefill float64, decode time.Duration, blocks int) *Engine {
 	e := &Engine{
-		slots:   make(chan struct{}, slots),
-		prefill: prefill,
-		decode:  decode,
-		started: time.Now(),
-		cache:   mtblocks.New(blocks),
-		mux:     http.NewServeMux(),
+		slots:      make(chan struct{}, slots),
+		prefill:    prefill,
+		decode:     decode,
+		prefilling: make(chan struct{}, 1),
+		started:    time.Now(),
+		cache:      mtblocks.New(blocks),
+		mux:        http.NewServeMux(),
 	}
 	e.events.wake = make(chan struct{})
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
@@ -125,8 +126,8 @@
 // fill computes what of the prompt is not cached and returns the cached tokens.
 func (e *Engine) fill(r *http.Request, salt string, prompt []byte) (int, error) {
 	blocks := hashes(salt, prompt)
-	e.prefilling.Lock()
-	defer e.prefilling.Unlock()
+	e.prefilling <- struct{}{}
+	defer func() { <-e.prefilling }()
 	e.mu.Lock()
 	matched := e.cache.Match(blocks)
 	e.mu.Unlock()
