--- a/internal/role/mtsidecar/sidecar.go
+++ b/internal/role/mtsidecar/sidecar.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,15 +19,15 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/outside/mtplatform"
 	"github.com/mustardtide/mustardtide/internal/prefix/mtview"
+	"github.com/mustardtide/mustardtide/internal/request/mtclaim"
+	"github.com/mustardtide/mustardtide/internal/request/mtonce"
 	"github.com/mustardtide/mustardtide/internal/role/mtcontrol"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
+	"github.com/mustardtide/mustardtide/internal/role/mttls"
 	"github.com/mustardtide/mustardtide/internal/settings/mtspread"
 )
 
-// drainPoll is how often a drain looks whether the runs have ended.
-const drainPoll = 50 * time.Millisecond
-
 // Sidecar runs beside one target.
 type Sidecar struct {
 	process *mustardtidev1.Process
@@ -38,14 +39,22 @@
 	view    *mtview.View
 	runs    *runs
 	admit   *admit
+	once    *mtonce.Table
+	claims  *mtclaim.Claims
+	homes   *homes
 	server  *mtserver.Server
 	started time.Time
+	// boot names this start of the process; base bounds its runs.
+	boot string
+	base context.Context
 
 	targetOnce sync.Once
 	target     target
 	up         atomic.Bool
-	leaving    atomic.Bool
-	ends       []<-chan error
+	// reading ends the cache event stream that is open.
+	reading atomic.Pointer[context.CancelFunc]
+	leaving atomic.Bool
+	ends    []<-chan error
 }
 
 // New returns a sidecar with the given process settings.
@@ -59,7 +68,11 @@
 		view:    mtview.New(),
 		runs:    newRuns(),
 		admit:   newAdmit(),
+		once:    mtonce.New(),
+		homes:   newHomes(network.Internal(), network.Scheme()),
 		started: time.Now(),
+		boot:    rand.Text(),
+		base:    context.Background(),
 	}
 	s.control = mtcontrol.New(log, s.spread, s.list, s.status, s.drain)
 	return s
@@ -72,31 +85,19 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	s.base = ctx
 	mux := http.NewServeMux()
 	mux.Handle(mustardtidev1connect.NewSidecarServiceHandler(s))
 	mux.Handle(mustardtidev1connect.NewControlServiceHandler(s.control))
-	s.server = mtserver.New(listener, s.net.ServerTLS(), mux)
+	mux.Handle("/metrics", s.log.Metrics())
+	s.server = mtserver.New(listener, s.net.ServerTLS(), mttls.Guard(mux))
 	client := mtplatform.New(s.process.GetPlatform(), s.process.GetNamespace(), s.net.Outside())
-	s.ends = append(s.ends, s.spread.Follow(ctx, client), s.list.Follow(ctx, client), s.watchTarget(ctx))
+	s.claims = mtclaim.New(client, s.log)
+	s.ends = append(s.ends, s.claims.Follow(ctx), s.spread.Follow(ctx, client), s.list.Follow(ctx, client), s.watchTarget(ctx))
 	s.log.Add(mtkind.SidecarStarted, &mustardtidev1.Event{Target: s.process.GetName(), Text: listener.Addr().String()})
 	return s.server, nil
 }
 
-// Drain refuses new work at once and returns when the last run has ended or
-// ctx ends.
-func (s *Sidecar) Drain(ctx context.Context) error {
-	s.drain()
-	for s.runs.live() > 0 {
-		select {
-		case <-time.After(drainPoll):
-		case <-ctx.Done():
-			return trace.Wrap(ctx.Err())
-		}
-	}
-	s.log.Add(mtkind.SidecarStopped, &mustardtidev1.Event{Target: s.process.GetName()})
-	return nil
-}
-
 // Wait returns when everything that Open started has ended.
 func (s *Sidecar) Wait() error {
 	var errors []error
@@ -104,16 +105,10 @@
 		errors = append(errors, <-end)
 	}
 	s.runs.wait()
+	s.homes.close()
 	return trace.NewAggregate(errors...)
 }
 
-func (s *Sidecar) drain() uint32 {
-	if s.leaving.CompareAndSwap(false, true) {
-		s.log.Add(mtkind.SidecarDraining, &mustardtidev1.Event{Target: s.process.GetName()})
-	}
-	return uint32(s.runs.live())
-}
-
 func (s *Sidecar) status() *mustardtidev1.StatusReply {
 	return &mustardtidev1.StatusReply{
 		Name:       s.process.GetName(),
@@ -134,6 +129,7 @@
 		Ready:       s.up.Load(),
 		Running:     uint32(s.runs.live()),
 		Cached:      uint64(s.view.Len()),
+		Boot:        s.boot,
 	}
 }
 
