--- a/internal/admission/mtqueue/queue.go
+++ b/internal/admission/mtqueue/queue.go
@@ -121,6 +121,7 @@
 	}
 	q.batch.end(it, &q.rates)
 	if finish.GetComplete() {
+		q.rates.measureEnd(it, finish.GetOutput())
 		q.learn(it, finish)
 	}
 }
--- a/internal/admission/mtqueue/ticket.go
+++ b/internal/admission/mtqueue/ticket.go
@@ -65,15 +65,14 @@
 	t.held[it.lane] = t.held[it.lane].plus(it.need)
 }
 
-// drop ends a reservation. It reports whether there was one.
-func (t *tickets) drop(k key) bool {
+// drop ends a reservation, if there is one.
+func (t *tickets) drop(k key) {
 	held := t.byKey[k]
 	if held == nil {
-		return false
+		return
 	}
 	delete(t.byKey, k)
 	t.held[held.lane] = t.held[held.lane].minus(held.need)
-	return true
 }
 
 // lapse ends the reservations whose time is over.
