--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
 
-.PHONY: build test format lint vet unit generate proofs measure overhead run-local bench docs
+.PHONY: build test format lint vet unit generate proofs measure overhead run-local bench docs capacity
 
 build:
 	go build -o $(BIN)/ . ./cmd/...
@@ -42,5 +42,9 @@
 	PATH="$$(go env GOPATH)/bin:$$PATH" buf generate
 
 # The tables of docs/ that are written from the code.
+# What control costs at two sizes, from the outside; not part of the verdict.
+capacity: build
+	test/capacity.sh
+
 docs:
 	UPDATE=1 go test -count=1 ./internal/observe/mtcode ./internal/observe/mtkind
--- a/cmd/mustardtide-standin/main.go
+++ b/cmd/mustardtide-standin/main.go
@@ -21,6 +21,8 @@
 	app := kingpin.New("mustardtide-standin", "Stand-ins for tests and demos.")
 	listen := app.Flag("listen", "Address to listen on.").Default("127.0.0.1:0").String()
 	platform := app.Command("platform", "An object API with a list of instances.")
+	members := platform.Flag("members", "Instances to list that do not run.").Int()
+	churn := platform.Flag("churn", "Time between two changes of those.").Duration()
 	engine := app.Command("engine", "A model engine.")
 	slots := engine.Flag("slots", "Batch slots.").Default("8").Int()
 	prefill := engine.Flag("prefill", "Prompt tokens computed a second.").Default("20000").Float64()
@@ -33,7 +35,9 @@
 	var handler http.Handler
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case platform.FullCommand():
-		handler = mtplatform.New()
+		store := mtplatform.New()
+		listMembers(store, *members, *churn)
+		handler = store
 	case engine.FullCommand():
 		handler = mtengine.New(*slots, *prefill, *decode, *blocks)
 	case service.FullCommand():
