--- a/internal/observe/mtcode/caller.go
+++ b/internal/observe/mtcode/caller.go
@@ -14,6 +14,8 @@
 	Denied         Code = 107
 	UnknownPath    Code = 108
 	UnknownModel   Code = 109
+	BadProtocol    Code = 110
+	SlowBody       Code = 111
 )
 
 var callerRows = map[Code]row{
@@ -26,5 +28,7 @@
 	BadDeadline:    {"bad-deadline", http.StatusBadRequest, "the deadline header is no positive duration", "send a duration such as 30s"},
 	Denied:         {"denied", http.StatusForbidden, "a rule denies this account the service", "ask the operators for a rule"},
 	UnknownPath:    {"unknown-path", http.StatusNotFound, "no such path", "use /v1/chat/completions, /v1/completions or /v1/services/NAME/"},
+	BadProtocol:    {"bad-protocol", http.StatusHTTPVersionNotSupported, "the request came over HTTP/1.0, which can't tell a broken answer from a whole one", "use HTTP/1.1"},
+	SlowBody:       {"slow-body", http.StatusRequestTimeout, "the body came too slowly", "send it again over a better connection"},
 	UnknownModel:   {"unknown-model", http.StatusNotFound, "no service runs this model", "name a model or service of `mustardtide show`"},
 }
--- a/internal/outside/mtcaller/completion.go
+++ b/internal/outside/mtcaller/completion.go
@@ -1,6 +1,7 @@
 package mtcaller
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 
@@ -27,11 +28,6 @@
 	CacheSalt json.RawMessage `json:"cache_salt"`
 }
 
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
 func (f *fields) tokens() int { return max(f.MaxTokens, f.MaxOutput) }
 
 // model reads a completions request.
@@ -70,13 +66,29 @@
 		if len(f.Messages) == 0 {
 			return badBody("messages is missing")
 		}
-		r.prompt = render(f.Messages)
-		return nil
+		prompt, err := render(f.Messages)
+		r.prompt = prompt
+		return err
 	}
-	var text string
-	if err := json.Unmarshal(f.Prompt, &text); err != nil {
+	return r.text()
+}
+
+// text reads the prompt of the older API, which may be a list there: one
+// request is one prompt here, so that each has one answer and one outcome.
+func (r *Request) text() error {
+	raw := bytes.TrimSpace(r.fields.Prompt)
+	switch {
+	case len(raw) == 0:
+		return badBody("prompt is missing")
+	case raw[0] == '[':
+		return badBody("prompt is a list: send one request for each text, and text instead of token ids")
+	case raw[0] != '"':
 		return badBody("prompt must be one text")
 	}
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		return badBody(err.Error())
+	}
 	r.prompt = []byte(text)
 	return nil
 }
--- a/internal/outside/mtcaller/request.go
+++ b/internal/outside/mtcaller/request.go
@@ -3,10 +3,10 @@
 package mtcaller
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -50,18 +50,33 @@
 
 // Read reads a request whose body holds at most limit bytes.
 func Read(w http.ResponseWriter, r *http.Request, limit int64) (*Request, error) {
+	if !r.ProtoAtLeast(1, 1) {
+		// HTTP/1.0 ends a body by closing the connection: an answer that broke
+		// off would look whole.
+		return nil, mtrefusal.New(mtcode.BadProtocol, r.Proto).Finally()
+	}
 	request := &Request{http: r}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := readBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
 	if err != nil {
 		return nil, bodyRefusal(err)
 	}
 	request.body = body
-	if rest, ok := strings.CutPrefix(r.URL.Path, servicesPath); ok {
-		return request.plain(rest)
+	if request.Plain() {
+		return request.plain()
 	}
 	return request.model()
 }
 
+// readBody reads a body into one allocation where its length is told.
+func readBody(body io.Reader, told, limit int64) ([]byte, error) {
+	if told < 0 || told > limit {
+		return io.ReadAll(body)
+	}
+	data := make([]byte, told)
+	_, err := io.ReadFull(body, data)
+	return data, err
+}
+
 // Name is the model or service that the caller asks for.
 func (r *Request) Name() string { return r.name }
 
@@ -106,13 +121,20 @@
 // Header returns the headers that a plain service gets.
 func (r *Request) Header() http.Header {
 	kept := r.http.Header.Clone()
-	for _, name := range []string{"Authorization", "Connection", "Keep-Alive", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", HeaderDeadline} {
+	for _, list := range kept.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range []string{"Authorization", "Connection", "Keep-Alive", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", HeaderDeadline} {
 		kept.Del(name)
 	}
 	return kept
 }
 
-func (r *Request) plain(rest string) (*Request, error) {
+func (r *Request) plain() (*Request, error) {
+	// The path goes on as it was written: its escapes are the service's matter.
+	rest := strings.TrimPrefix(r.http.URL.EscapedPath(), servicesPath)
 	name, path, _ := strings.Cut(rest, "/")
 	r.name = name
 	r.rest = "/" + path
@@ -127,18 +149,8 @@
 	if errors.As(err, &large) {
 		return mtrefusal.New(mtcode.BodyTooLarge, err.Error()).Finally()
 	}
-	return mtrefusal.New(mtcode.BadBody, err.Error()).Finally()
-}
-
-// render joins chat messages as the engines' template does: role, line end,
-// content, line end.
-func render(messages []message) []byte {
-	var b bytes.Buffer
-	for _, m := range messages {
-		b.WriteString(m.Role)
-		b.WriteByte('\n')
-		b.WriteString(m.Content)
-		b.WriteByte('\n')
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return mtrefusal.New(mtcode.SlowBody, "").Finally()
 	}
-	return b.Bytes()
+	return mtrefusal.New(mtcode.BadBody, err.Error()).Finally()
 }
--- a/internal/outside/mtengine/engine.go
+++ b/internal/outside/mtengine/engine.go
@@ -10,10 +10,13 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
+	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
 )
 
 // errorBody bounds what is kept of an engine's error answer.
@@ -21,13 +24,14 @@
 
 // Engine calls one engine. It is safe for concurrent use.
 type Engine struct {
-	base string
-	http *http.Client
+	base   string
+	http   *http.Client
+	echoes atomic.Bool
 }
 
 // New returns an adapter for the engine at base.
 func New(base string, transport http.RoundTripper) *Engine {
-	return &Engine{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
+	return &Engine{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport, CheckRedirect: stay}}
 }
 
 // Run sends a completions request and emits head and payload as they come.
@@ -46,12 +50,16 @@
 	if err := emit(headFrame(response)); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	mine := &owner{want: requestID(work), echoes: &e.echoes}
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
-		return readStream(response.Body, emit)
+		return readStream(response.Body, mine, emit)
 	}
-	return readWhole(response.Body, emit)
+	return readWhole(response.Body, mine, emit)
 }
 
+// stay follows no redirect: that would be a second request.
+func stay(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 func (e *Engine) post(ctx context.Context, work *mustardtidev1.Work, call *mustardtidev1.Call) (*http.Response, error) {
 	body := extend(call.GetBody(), work.GetSalt())
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+call.GetPath(), bytes.NewReader(body))
@@ -59,7 +67,7 @@
 		return nil, trace.Wrap(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("X-Request-Id", work.GetRun())
+	request.Header.Set(requestIDHeader, requestID(work))
 	response, err := e.http.Do(request)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "the engine can't be reached")
@@ -67,12 +75,16 @@
 	return response, nil
 }
 
-// refused passes an engine's own error answer on as the run's answer.
+// refused passes an engine's complaint about a request on as the run's answer.
+// An engine that can't answer any request is an error.
 func (e *Engine) refused(response *http.Response, emit func(*mustardtidev1.Frame) error) (*mustardtidev1.Finish, error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, errorBody))
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "the engine's answer broke off")
 	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		return nil, mtrefusal.New(mtcode.TargetRefused, response.Status).Having(mustardtidev1.Ran_UNKNOWN)
+	}
 	if err := emit(headFrame(response)); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/outside/mtservice/service.go
+++ b/internal/outside/mtservice/service.go
@@ -17,6 +17,9 @@
 // pieceSize is the most that one piece of an answer holds.
 const pieceSize = 32 << 10
 
+// runHeader names the run to the service.
+const runHeader = "Mustardtide-Run"
+
 // Service calls one instance of a plain service.
 type Service struct {
 	base string
@@ -25,12 +28,18 @@
 
 // New returns an adapter for the service at base.
 func New(base string, transport http.RoundTripper) *Service {
-	return &Service{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
+	return &Service{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport, CheckRedirect: stay}}
 }
 
+// stay follows no redirect: that would be a second request.
+func stay(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// hopByHop names the headers that belong to one connection (RFC 9110, 7.6.1).
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
 // Run sends the call and emits head and body as they come. An answer that
 // breaks off gives an error.
-func (s *Service) Run(ctx context.Context, call *mustardtidev1.Call, emit func(*mustardtidev1.Frame) error) (*mustardtidev1.Finish, error) {
+func (s *Service) Run(ctx context.Context, work *mustardtidev1.Work, call *mustardtidev1.Call, emit func(*mustardtidev1.Frame) error) (*mustardtidev1.Finish, error) {
 	// A plain ReadCloser, not a bytes.Reader: net/http sends a request with an
 	// Idempotency-Key again by itself when a kept connection turns out to be
 	// closed, if it can rewind the body or has none. That would be a second run.
@@ -43,6 +52,7 @@
 	for _, h := range call.GetHeaders() {
 		request.Header.Add(h.GetName(), h.GetValue())
 	}
+	request.Header.Set(runHeader, work.GetRun())
 	response, err := s.http.Do(request)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "the service can't be reached")
@@ -87,7 +97,16 @@
 
 func headFrame(response *http.Response) *mustardtidev1.Frame {
 	head := &mustardtidev1.Head{Status: uint32(response.StatusCode)}
-	for name, values := range response.Header {
+	header := response.Header.Clone()
+	for _, list := range header.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+	for name, values := range header {
 		for _, value := range values {
 			head.Headers = append(head.Headers, &mustardtidev1.Header{Name: name, Value: value})
 		}
--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -38,29 +38,33 @@
 			break
 		}
 	}
-	out.fail(refusal)
 	e.note(mtkind.RequestBroken, t, refusal.Error())
+	if refusal.Wait() == 0 && !refusal.Final() && broken(refusal.Code()) {
+		refusal = refusal.After(comeBack)
+	}
+	out.fail(refusal)
 }
 
 // again says whether a refused task may be given to another target: what
-// provably did not run always may; what may have run, only if it is a model's
-// and none of its answer has reached the caller.
+// provably did not run always may; what may have run, only if it is a model's.
+// Where part of an answer has reached the caller, the next run's answer must
+// repeat that part.
 func again(t *task, out *output, refusal *mtrefusal.Refusal) bool {
 	switch {
-	case out.started || refusal.Final():
+	case refusal.Final():
 		return false
 	case refusal.Ran() == mustardtidev1.Ran_NO:
-		return true
+		return out.rewind() == nil
 	default:
-		return repeatable(t) && broken(refusal.Code())
+		return repeatable(t) && broken(refusal.Code()) && out.rewind() == nil
 	}
 }
 
 // repeatable says that running a task twice does no harm. A plain service's
 // calls may have effects that the router can't see.
-func repeatable(t *task) bool {
-	return t.service.GetKind() == "model" && !t.service.GetOnce()
-}
+func repeatable(t *task) bool { return !t.plain() && !t.service.GetOnce() }
+
+func (t *task) plain() bool { return t.service.GetKind() == "plain" }
 
 // broken lists the codes of answers that another target may well complete.
 func broken(code mtcode.Code) bool {
--- a/internal/role/mtentry/serve.go
+++ b/internal/role/mtentry/serve.go
@@ -1,8 +1,10 @@
 package mtentry
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -66,14 +68,24 @@
 }
 
 // read reads a request; a body that comes too slowly is refused.
-func read(w http.ResponseWriter, r *http.Request) (*mtcaller.Request, error) {
+func read(w http.ResponseWriter, r *http.Request, limit int64) (*mtcaller.Request, error) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTime))
-	request, err := mtcaller.Read(w, r, defaultBody)
+	request, err := mtcaller.Read(w, r, limit)
 	_ = control.SetReadDeadline(time.Time{})
 	return request, err
 }
 
+// bodyLimit is the largest body that any service takes; the service's own limit
+// is checked once the body has named it.
+func bodyLimit(snapshot *mtsnapshot.Snapshot) int64 {
+	limit := uint64(defaultBody)
+	for _, service := range snapshot.Base().GetServices() {
+		limit = max(limit, service.GetBody())
+	}
+	return int64(limit)
+}
+
 // bound ends a request at its deadline, when its caller hangs up, and when the
 // entry's drain has reached its bound.
 func (e *Entry) bound(ctx context.Context, left time.Duration) (context.Context, context.CancelFunc) {
@@ -94,7 +106,7 @@
 	if account == nil {
 		return nil, mtrefusal.New(mtcode.UnknownKey, "").Finally()
 	}
-	request, err := read(w, r)
+	request, err := read(w, r, bodyLimit(snapshot))
 	if err != nil {
 		return nil, mtrefusal.Find(err)
 	}
@@ -135,8 +147,8 @@
 }
 
 func (e *Entry) task(run, account string, service *mustardtidev1.Service, rule *mustardtidev1.Rule, request *mtcaller.Request, left time.Duration) (*task, *mtrefusal.Refusal) {
-	if service.GetBody() > 0 && uint64(len(request.Body())) > service.GetBody() {
-		return nil, mtrefusal.New(mtcode.BodyTooLarge, "").Finally()
+	if limit := cmp.Or(service.GetBody(), defaultBody); uint64(len(request.Body())) > limit {
+		return nil, mtrefusal.New(mtcode.BodyTooLarge, fmt.Sprintf("%s takes %d bytes", service.GetName(), limit)).Finally()
 	}
 	work := &mustardtidev1.Work{
 		Run:     run,
--- a/internal/role/mtsidecar/target.go
+++ b/internal/role/mtsidecar/target.go
@@ -40,7 +40,7 @@
 	case engineTarget:
 		return t.Run(ctx, work, c, emit)
 	case serviceTarget:
-		return t.Run(ctx, c, emit)
+		return t.Run(ctx, work, c, emit)
 	default:
 		return nil, trace.BadParameter("unknown kind of target %T", t)
 	}
--- a/internal/standin/mtfleet/fleet.go
+++ b/internal/standin/mtfleet/fleet.go
@@ -40,6 +40,8 @@
 	mu    sync.Mutex
 	next  int
 	nodes map[string]*node
+	// addresses outlive their nodes.
+	addresses map[string]string
 }
 
 // node is one process or stand-in.
@@ -60,7 +62,7 @@
 // New starts the stand-in platform.
 func New() (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Fleet{wire: mtwire.New(), platform: mtplatform.New(), ctx: ctx, cancel: cancel, nodes: map[string]*node{}}
+	f := &Fleet{wire: mtwire.New(), platform: mtplatform.New(), ctx: ctx, cancel: cancel, nodes: map[string]*node{}, addresses: map[string]string{}}
 	return f, f.serve("platform", platformAddress, f.platform)
 }
 
@@ -98,7 +100,7 @@
 // AddSidecar starts a sidecar for a target at an address and lists it.
 func (f *Fleet) AddSidecar(name, service, datacentre, target string) error {
 	n := f.node(name)
-	n.internal = f.address()
+	f.place(n, f.address())
 	process := f.process(n, datacentre)
 	process.Service = service
 	process.Target = "http://" + target
@@ -119,7 +121,7 @@
 // AddEntry starts an entry and lists it.
 func (f *Fleet) AddEntry(name, datacentre string) error {
 	n := f.node(name)
-	n.internal = f.address()
+	f.place(n, f.address())
 	n.public = f.address()
 	process := f.process(n, datacentre)
 	process.Public = n.public
@@ -143,8 +145,12 @@
 // Handler is an entry's API for callers, for a listener outside the fleet.
 func (f *Fleet) Handler(name string) http.Handler { return f.find(name).entry.Handler() }
 
-// Address is the internal address of a process.
-func (f *Fleet) Address(name string) string { return f.find(name).internal }
+// Address is the internal address of a process, also of one that has ended.
+func (f *Fleet) Address(name string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.addresses[name]
+}
 
 // Log is the event log of a process.
 func (f *Fleet) Log(name string) *mtevent.Log { return f.find(name).log }
@@ -174,6 +180,14 @@
 	return f.nodes[name]
 }
 
+// place gives a node its internal address.
+func (f *Fleet) place(n *node, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.internal = address
+	f.addresses[n.name] = address
+}
+
 // address gives an unused one.
 func (f *Fleet) address() string {
 	f.mu.Lock()
--- a/internal/standin/mtfleet/stop.go
+++ b/internal/standin/mtfleet/stop.go
@@ -17,7 +17,7 @@
 // serve runs a stand-in's handler as a node.
 func (f *Fleet) serve(name, address string, handler http.Handler) error {
 	n := f.node(name)
-	n.internal = address
+	f.place(n, address)
 	listener, err := f.wire.Listen(address)
 	if err != nil {
 		return trace.Wrap(err)
@@ -56,6 +56,9 @@
 // Kill ends one process at once: its connections break and it says no word.
 func (f *Fleet) Kill(name string) error {
 	n := f.remove(name)
+	if n == nil {
+		return trace.NotFound("no process %s", name)
+	}
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
