--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -22,13 +22,13 @@
 func (e *Entry) answer(ctx context.Context, w http.ResponseWriter, t *task) {
 	out := newOutput(w, t)
 	refusal := mtrefusal.New(mtcode.NoTarget, t.service.GetName()).After(comeBack)
-	for i, member := range e.choose(t) {
+	for i, member := range e.choose(ctx, t) {
 		if i == maxAttempts {
 			break
 		}
 		t.work.Attempt++
 		e.note(mtkind.AttemptSent, t, member.GetName())
-		refusal = e.attempt(ctx, member, t, out)
+		refusal = e.redirect(ctx, t, out, e.attempt(ctx, member, t, out))
 		if refusal == nil {
 			e.note(mtkind.RequestAnswered, t, member.GetName())
 			return
--- a/internal/role/mtsidecar/run.go
+++ b/internal/role/mtsidecar/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"connectrpc.com/connect"
 
@@ -10,19 +9,8 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
 	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
-	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
 )
 
-// Offer says what this target would make of a request.
-func (s *Sidecar) Offer(_ context.Context, ask *connect.Request[mustardtidev1.OfferRequest]) (*connect.Response[mustardtidev1.OfferReply], error) {
-	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
-	reply := &mustardtidev1.OfferReply{Peer: s.control.Peer(), State: s.state(), Matched: s.matched(ask.Msg.GetWork())}
-	if refusal := s.unfit(ask.Msg.GetWork()); refusal != nil {
-		reply.Refusal = refusal.Message()
-	}
-	return connect.NewResponse(reply), nil
-}
-
 // Run takes a request and streams its answer.
 func (s *Sidecar) Run(ctx context.Context, ask *connect.Request[mustardtidev1.RunRequest], stream *connect.ServerStream[mustardtidev1.Frame]) error {
 	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
@@ -31,7 +19,7 @@
 		return s.refuse(work, refusal, stream)
 	}
 	started := s.start(ask.Msg)
-	begin := &mustardtidev1.Frame_Begin{Begin: &mustardtidev1.Begin{State: s.state(), Matched: s.matched(work)}}
+	begin := &mustardtidev1.Frame_Begin{Begin: &mustardtidev1.Begin{State: s.state(), Matched: started.matched}}
 	if err := s.send(stream, work, 0, &mustardtidev1.Frame{Step: begin}); err != nil {
 		return err
 	}
@@ -91,14 +79,11 @@
 	return refusal
 }
 
-// Claim is answered by the claims' home; this version has none.
-func (s *Sidecar) Claim(context.Context, *connect.Request[mustardtidev1.ClaimRequest]) (*connect.Response[mustardtidev1.ClaimReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("no claims yet"))
-}
-
 // unfit says why no new work is taken now, or nil.
 func (s *Sidecar) unfit(work *mustardtidev1.Work) *mtrefusal.Refusal {
 	switch {
+	case s.began(work):
+		return nil
 	case s.leaving.Load():
 		return mtrefusal.New(mtcode.Leaving, s.process.GetName())
 	case work.GetService() != s.process.GetService():
@@ -121,6 +106,8 @@
 	ctx, cancel := context.WithTimeout(s.base, work.GetLeft().AsDuration())
 	added := newRun(cancel)
 	added.kept = work.GetKey() != ""
+	added.matched = s.matched(work)
+	s.own(work)
 	started, fresh := s.runs.add(key, added)
 	if !fresh {
 		cancel()
@@ -129,23 +116,36 @@
 	go func() {
 		defer s.runs.end(key)
 		defer cancel()
-		started.buffer.Finish(s.execute(ctx, ask, started))
+		expected := s.expect(work)
+		finish := s.execute(ctx, ask, started)
+		s.settle(expected, finish)
+		started.buffer.Finish(finish)
 	}()
 	return started
 }
 
 // execute waits for a slot and runs the request on the target.
 func (s *Sidecar) execute(ctx context.Context, ask *mustardtidev1.RunRequest, started *run) *mustardtidev1.Finish {
-	work := ask.GetWork()
+	if known := s.attach(ctx, ask.GetWork(), started); known != nil {
+		return known
+	}
 	if err := s.admit.enter(ctx); err != nil {
 		return &mustardtidev1.Finish{Refusal: mtrefusal.New(mtcode.DeadlineTooNear, "").Message()}
 	}
 	defer s.admit.leave()
+	if ask.GetWork().GetKey() != "" {
+		return s.executeOnce(ctx, ask, started)
+	}
 	if !started.begin() {
 		return &mustardtidev1.Finish{Refusal: mtrefusal.New(mtcode.CallerGone, "").Message()}
 	}
+	return s.perform(ctx, ask, started, func(f *mustardtidev1.Frame) error { return started.take(ctx, f) })
+}
+
+// perform hands a begun run to the target.
+func (s *Sidecar) perform(ctx context.Context, ask *mustardtidev1.RunRequest, started *run, emit func(*mustardtidev1.Frame) error) *mustardtidev1.Finish {
+	work := ask.GetWork()
 	s.note(mtkind.RunBegan, work, "")
-	emit := func(f *mustardtidev1.Frame) error { return started.take(ctx, f) }
 	finish, err := call(ctx, s.program(s.service()), work, ask.GetCall(), emit)
 	if err != nil {
 		s.note(mtkind.RunFailed, work, err.Error())
@@ -155,20 +155,6 @@
 	return finish
 }
 
-func (s *Sidecar) matched(work *mustardtidev1.Work) uint64 {
-	service := s.service()
-	if service == nil || len(work.GetChain()) == 0 {
-		return 0
-	}
-	span := int(service.GetGranule() * service.GetStride())
-	chain := mtchain.From(work.GetChain(), span)
-	return uint64(s.view.Match(chain) * span / bytesPerToken)
-}
-
-// bytesPerToken turns bytes of prompt into tokens where the engine has not
-// counted them yet.
-const bytesPerToken = 4
-
 func (s *Sidecar) note(kind mtkind.Kind, work *mustardtidev1.Work, text string) {
 	s.log.Add(kind, &mustardtidev1.Event{Run: work.GetRun(), Account: work.GetAccount(), Target: s.process.GetName(), Text: text})
 }
