--- a/internal/role/mtentry/attempt.go
+++ b/internal/role/mtentry/attempt.go
@@ -42,7 +42,9 @@
 	out      *output
 	received *mtstream.Stream
 	// boot is the sidecar's as known before the run was sent.
-	boot   string
+	boot string
+	// number is the attempt's own: the task's moves on.
+	number uint32
 	sent   time.Time
 	status uint32
 	acked  uint64
@@ -61,6 +63,7 @@
 		task:     t,
 		out:      out,
 		received: mtstream.New(t.work.GetRun(), t.work.GetAttempt()),
+		number:   t.work.GetAttempt(),
 		boot:     e.evidence.Boot(member.GetName()),
 		sent:     time.Now(),
 	}
@@ -97,7 +100,7 @@
 	return sidecar.Resume(ctx, connect.NewRequest(&mustardtidev1.ResumeRequest{
 		Peer:    a.entry.peer(),
 		Run:     a.task.work.GetRun(),
-		Attempt: a.task.work.GetAttempt(),
+		Attempt: a.number,
 		Offset:  a.received.Offset(),
 		Boot:    a.trusted(),
 	}))
@@ -199,7 +202,7 @@
 	a.acked = a.received.Offset()
 	pool.acks.add(&mustardtidev1.Mark{
 		Run:     a.task.work.GetRun(),
-		Attempt: a.task.work.GetAttempt(),
+		Attempt: a.number,
 		Offset:  a.acked,
 		Done:    done,
 	})
--- a/internal/role/mtentry/cancel.go
+++ b/internal/role/mtentry/cancel.go
@@ -25,7 +25,7 @@
 	reply, err := a.entry.clients.sidecar(a.member.GetAddress()).Cancel(ctx, connect.NewRequest(&mustardtidev1.CancelRequest{
 		Peer:    a.entry.peer(),
 		Run:     a.task.work.GetRun(),
-		Attempt: a.task.work.GetAttempt(),
+		Attempt: a.number,
 		Boot:    a.trusted(),
 	}))
 	if err != nil {
--- a/internal/role/mtentry/output.go
+++ b/internal/role/mtentry/output.go
@@ -136,7 +136,7 @@
 // end closes a whole answer; only it writes the stream's [DONE].
 func (o *output) end(status uint32) error {
 	if o.task.stream && status == http.StatusOK {
-		return o.write([]byte("data: [DONE]\n\n"))
+		return o.send([]byte("data: [DONE]\n\n"))
 	}
 	if o.holds(0) {
 		o.writer.Header().Set("Content-Length", strconv.Itoa(len(o.held)))
--- a/internal/standin/mtengine/engine.go
+++ b/internal/standin/mtengine/engine.go
@@ -30,7 +30,8 @@
 	decode  time.Duration
 	started time.Time
 
-	prefilling sync.Mutex
+	// prefilling is a lock that a paused clock can wait on, unlike a mutex.
+	prefilling chan struct{}
 	mu         sync.Mutex
 	cache      *mtblocks.Cache
 	events     events
@@ -46,12 +47,13 @@
 // second, a time between tokens and a cache of so many blocks.
 func New(slots int, prefill float64, decode time.Duration, blocks int) *Engine {
 	e := &Engine{
-		slots:   make(chan struct{}, slots),
-		prefill: prefill,
-		decode:  decode,
-		started: time.Now(),
-		cache:   mtblocks.New(blocks),
-		mux:     http.NewServeMux(),
+		slots:      make(chan struct{}, slots),
+		prefill:    prefill,
+		decode:     decode,
+		started:    time.Now(),
+		prefilling: make(chan struct{}, 1),
+		cache:      mtblocks.New(blocks),
+		mux:        http.NewServeMux(),
 	}
 	e.events.wake = make(chan struct{})
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
@@ -125,8 +127,12 @@
 // fill computes what of the prompt is not cached and returns the cached tokens.
 func (e *Engine) fill(r *http.Request, salt string, prompt []byte) (int, error) {
 	blocks := hashes(salt, prompt)
-	e.prefilling.Lock()
-	defer e.prefilling.Unlock()
+	select {
+	case e.prefilling <- struct{}{}:
+	case <-r.Context().Done():
+		return 0, r.Context().Err()
+	}
+	defer func() { <-e.prefilling }()
 	e.mu.Lock()
 	matched := e.cache.Match(blocks)
 	e.mu.Unlock()
