--- a/internal/standin/mtengine/engine.go
+++ b/internal/standin/mtengine/engine.go
@@ -126,7 +126,11 @@
 // fill computes what of the prompt is not cached and returns the cached tokens.
 func (e *Engine) fill(r *http.Request, salt string, prompt []byte) (int, error) {
 	blocks := hashes(salt, prompt)
-	e.prefilling <- struct{}{}
+	select {
+	case e.prefilling <- struct{}{}:
+	case <-r.Context().Done():
+		return 0, r.Context().Err()
+	}
 	defer func() { <-e.prefilling }()
 	e.mu.Lock()
 	matched := e.cache.Match(blocks)
