Let the admission queue decide at the sidecar

Cause: the sidecar ran eight requests at once, first come, first served, whatever its service's settings said. Ruled out: counting reservations against a request's deadline: an offer goes to several targets and only one is used, so that the others' would refuse requests for work that never comes. They only lengthen the wait that an offer reports. Change: admit.go wraps mtqueue with the lock, the timer and the settings; a run tells its first output and its usage; offers are judged and reserved; the state says wait, queue, backlog and measured prefill rate. Run: go test -race ./internal/admission/... ./internal/role/... ./internal/standin/... passes. Conclusion: the real sidecar gives each waiting run its start or refusal.

--- a/internal/admission/mtqueue/queue.go
+++ b/internal/admission/mtqueue/queue.go
@@ -72,7 +72,7 @@
 		return nil
 	}
 	q.tickets.lapse(time.Now())
-	q.tickets.drop(added.key)
+	q.tickets.drop(added.key.run)
 	added.tag = q.lane(added).start(added.account)
 	if refusal := q.judge(added); refusal != nil {
 		return refusal
@@ -131,7 +131,7 @@
 	q.tickets.lapse(time.Now())
 	it := q.item(work, matched)
 	it.tag = q.lane(it).start(it.account)
-	return q.wait(it)
+	return q.wait(it, q.tickets.held)
 }
 
 // Wake is when Next or Expire may have a new answer though nothing was added
--- a/internal/admission/mtqueue/ticket.go
+++ b/internal/admission/mtqueue/ticket.go
@@ -7,20 +7,22 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
 )
 
-// ticketTime is how long a reservation holds: the entry's other offers come
-// back within a few milliseconds in a data centre and about 100 between
-// regions, so that half a second outlasts the slowest sound one.
-const ticketTime = 500 * time.Millisecond
+// ticketTime is how long a reservation holds: an entry waits at most 100
+// milliseconds for its offers, and its request comes within one way after. The
+// reservations of offers that lost count until they lapse, so that a longer
+// time would promise waits that nobody causes.
+const ticketTime = 150 * time.Millisecond
 
 // keptTickets bounds the reservations: a target at its share of the peak, 25,000
-// requests a second over 2,700 targets, gets about 40 offers in ticketTime.
+// requests a second over 2,700 targets, gets about 10 requests a second, each
+// offered to a few targets: some dozen in ticketTime, and ten times that in a burst.
 const keptTickets = 512
 
 // ticket is a reservation: its cost counts as waiting until it is used or
 // lapses. Without it every entry that asks in the same moment sees the same
 // short wait, and all of them send.
 type ticket struct {
-	key    key
+	run    string
 	lane   int
 	need   sums
 	lapses time.Time
@@ -29,61 +31,63 @@
 // tickets holds reservations in the order in which they lapse.
 type tickets struct {
 	order []*ticket
-	byKey map[key]*ticket
+	byRun map[string]*ticket
 	held  [2]sums
 }
 
 // Hold judges a request as Add does and reserves its place for a short while;
-// Add of the same attempt uses the reservation.
+// Add of the same run, whichever attempt, uses the reservation. It returns the
+// predicted wait behind the other reservations, which only rank targets: no
+// request is refused for what may never come.
 func (q *Queue) Hold(work *mustardtidev1.Work, matched uint64) (time.Duration, *mtrefusal.Refusal) {
 	q.tickets.lapse(time.Now())
 	it := q.item(work, matched)
 	it.tag = q.lane(it).start(it.account)
-	wait := q.wait(it)
-	if refusal := q.late(it, wait); refusal != nil {
-		return wait, refusal
+	if refusal := q.judge(it); refusal != nil {
+		return 0, refusal
 	}
-	if worst := last(q.lane(it).root); q.over(it) && worst.before(it) {
-		return wait, q.full().After(q.comeBack(0))
+	if q.over(it) && last(q.lane(it).root).before(it) {
+		return 0, q.full().After(q.comeBack(0))
 	}
+	wait := q.wait(it, q.tickets.held)
 	q.tickets.add(it)
 	return wait, nil
 }
 
 func (t *tickets) add(it *item) {
-	if t.byKey == nil {
-		t.byKey = map[key]*ticket{}
+	if t.byRun == nil {
+		t.byRun = map[string]*ticket{}
 	}
-	t.drop(it.key)
+	t.drop(it.key.run)
 	if len(t.order) >= keptTickets {
-		t.drop(t.order[0].key)
+		t.drop(t.order[0].run)
 		t.order = t.order[1:]
 	}
-	added := &ticket{key: it.key, lane: it.lane, need: it.need, lapses: time.Now().Add(ticketTime)}
+	added := &ticket{run: it.key.run, lane: it.lane, need: it.need, lapses: time.Now().Add(ticketTime)}
 	t.order = append(t.order, added)
-	t.byKey[it.key] = added
+	t.byRun[it.key.run] = added
 	t.held[it.lane] = t.held[it.lane].plus(it.need)
 }
 
 // drop ends a reservation, if there is one.
-func (t *tickets) drop(k key) {
-	held := t.byKey[k]
+func (t *tickets) drop(run string) {
+	held := t.byRun[run]
 	if held == nil {
 		return
 	}
-	delete(t.byKey, k)
+	delete(t.byRun, run)
 	t.held[held.lane] = t.held[held.lane].minus(held.need)
 }
 
 // lapse ends the reservations whose time is over.
 func (t *tickets) lapse(now time.Time) {
-	for len(t.order) > 0 && (now.After(t.order[0].lapses) || t.byKey[t.order[0].key] != t.order[0]) {
-		if t.byKey[t.order[0].key] == t.order[0] {
-			t.drop(t.order[0].key)
+	for len(t.order) > 0 && (now.After(t.order[0].lapses) || t.byRun[t.order[0].run] != t.order[0]) {
+		if t.byRun[t.order[0].run] == t.order[0] {
+			t.drop(t.order[0].run)
 		}
 		t.order = t.order[1:]
 	}
-	if len(t.byKey) == 0 {
+	if len(t.byRun) == 0 {
 		t.held = [2]sums{}
 	}
 }
--- a/internal/admission/mtqueue/wait.go
+++ b/internal/admission/mtqueue/wait.go
@@ -37,7 +37,7 @@
 
 // judge refuses an item whose predicted wait passes its deadline.
 func (q *Queue) judge(it *item) *mtrefusal.Refusal {
-	return q.late(it, q.wait(it))
+	return q.late(it, q.wait(it, [2]sums{}))
 }
 
 // late refuses an item that waits too long, and says when one like it fits.
@@ -68,10 +68,11 @@
 	return min(max(shrink, 0), backlogTime) + seconds(window.Seconds()*(step-float64(uint64(step))))
 }
 
-// wait predicts an item's time in queue from what is ahead of its tag.
-func (q *Queue) wait(it *item) time.Duration {
-	mine := q.drain(ahead(q.lane(it).root, it).plus(q.tickets.held[it.lane]))
-	other := q.drain(q.lanes[1-it.lane].total().plus(q.tickets.held[1-it.lane]))
+// wait predicts an item's time in queue from what is ahead of its tag and what
+// is reserved.
+func (q *Queue) wait(it *item, reserved [2]sums) time.Duration {
+	mine := q.drain(ahead(q.lane(it).root, it).plus(reserved[it.lane]))
+	other := q.drain(q.lanes[1-it.lane].total().plus(reserved[1-it.lane]))
 	return seconds(q.base(mine+other > 0) + combine(it.lane, mine, other))
 }
 
--- a/internal/role/mtsidecar/offer.go
+++ b/internal/role/mtsidecar/offer.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
@@ -24,6 +25,13 @@
 		return connect.NewResponse(reply), nil
 	}
 	reply.Matched = s.matched(work)
+	wait, refusal := s.admit.offer(s.spread.Snapshot(), work, reply.GetMatched())
+	if refusal != nil {
+		reply.Refusal = refusal.Message()
+		return connect.NewResponse(reply), nil
+	}
+	reply.State.Wait = durationpb.New(wait)
+	reply.Ticket = work.GetRun()
 	return connect.NewResponse(reply), nil
 }
 
--- a/internal/role/mtsidecar/run.go
+++ b/internal/role/mtsidecar/run.go
@@ -129,10 +129,16 @@
 	if known := s.attach(ctx, ask.GetWork(), started); known != nil {
 		return known
 	}
-	if err := s.admit.enter(ctx); err != nil {
-		return &mustardtidev1.Finish{Refusal: mtrefusal.New(mtcode.DeadlineTooNear, "").Message()}
+	if refusal := s.admit.enter(ctx, s.spread.Snapshot(), ask.GetWork(), started.matched); refusal != nil {
+		return refusalFinish(refusal)
 	}
-	defer s.admit.leave()
+	finish := s.handOver(ctx, ask, started)
+	s.admit.leave(ask.GetWork(), finish)
+	return finish
+}
+
+// handOver runs an admitted request on the target.
+func (s *Sidecar) handOver(ctx context.Context, ask *mustardtidev1.RunRequest, started *run) *mustardtidev1.Finish {
 	if ask.GetWork().GetKey() != "" {
 		return s.executeOnce(ctx, ask, started)
 	}
@@ -146,7 +152,7 @@
 func (s *Sidecar) perform(ctx context.Context, ask *mustardtidev1.RunRequest, started *run, emit func(*mustardtidev1.Frame) error) *mustardtidev1.Finish {
 	work := ask.GetWork()
 	s.note(mtkind.RunBegan, work, "")
-	finish, err := call(ctx, s.program(s.service()), work, ask.GetCall(), emit)
+	finish, err := call(ctx, s.program(s.service()), work, ask.GetCall(), s.firstly(work, emit))
 	if err != nil {
 		s.note(mtkind.RunFailed, work, err.Error())
 		return &mustardtidev1.Finish{Refusal: failure(ctx, started, err).Message()}
@@ -155,6 +161,18 @@
 	return finish
 }
 
+// firstly tells admission when the first output comes.
+func (s *Sidecar) firstly(work *mustardtidev1.Work, emit func(*mustardtidev1.Frame) error) func(*mustardtidev1.Frame) error {
+	told := false
+	return func(f *mustardtidev1.Frame) error {
+		if !told && f.GetData() != nil {
+			told = true
+			s.admit.first(work)
+		}
+		return emit(f)
+	}
+}
+
 func (s *Sidecar) note(kind mtkind.Kind, work *mustardtidev1.Work, text string) {
 	s.log.Add(kind, &mustardtidev1.Event{Run: work.GetRun(), Account: work.GetAccount(), Target: s.process.GetName(), Text: text})
 }
--- a/internal/role/mtsidecar/sidecar.go
+++ b/internal/role/mtsidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/gen/mustardtide/v1/mustardtidev1connect"
@@ -122,15 +123,16 @@
 
 // state is this sidecar's word about its target.
 func (s *Sidecar) state() *mustardtidev1.State {
-	return &mustardtidev1.State{
+	state := &mustardtidev1.State{
 		Target:      s.process.GetName(),
 		Incarnation: s.view.Incarnation(),
 		Leaving:     s.leaving.Load(),
 		Ready:       s.up.Load(),
-		Running:     uint32(s.runs.live()),
 		Cached:      uint64(s.view.Len()),
 		Boot:        s.boot,
 	}
+	state.Wait = durationpb.New(s.admit.describe(state))
+	return state
 }
 
 // service is the settings of the target's service, or nil before they came.
