Stop requests that crash targets, fleet-wide, after the second crash

Cause: a request that kills the engine which runs it was given to the next, and its caller's resends to one after another; the sidecar, which outlives its engine, kept no account of it. Ruled out: condemning all that ran at a crash (a batch's neighbours would be refused for one request's fault); a ban after the first crash, for the same reason; a watch in every sidecar (2,700 watches against a budget of calls). Change: mtquarantine counts crashes by fingerprint, mtsuspicion shares them by one small object per suspect, written at a crash and at a rerun; a suspect reruns alone in its batch, once at a time over the fleet; entries watch the objects, and quarantines travel in Peer.bans. What waits for a target whose program died is handed back at once. The stand-in engine crashes on a marked prompt and comes back cold.

--- a/internal/observe/mtcode/admission.go
+++ b/internal/observe/mtcode/admission.go
@@ -2,7 +2,8 @@
 
 import "net/http"
 
-// Refusals of admission: the request did not run.
+// Refusals of admission: the request did not run, unless the answer says that
+// it ran when its target crashed.
 const (
 	DeadlineTooNear Code = 201
 	QueueFull       Code = 202
@@ -13,6 +14,8 @@
 	Quarantined     Code = 207
 	RetryBudget     Code = 208
 	TicketUnknown   Code = 209
+	Crashed         Code = 210
+	Suspected       Code = 211
 )
 
 var admissionRows = map[Code]row{
@@ -25,4 +28,6 @@
 	Quarantined:     {"quarantined", http.StatusUnprocessableEntity, "this request crashed the targets that ran it", "do not send it again; change the request"},
 	RetryBudget:     {"retry-budget", http.StatusServiceUnavailable, "the service's retry budget is used up", "come back after Retry-After"},
 	TicketUnknown:   {"ticket-unknown", http.StatusServiceUnavailable, "the reservation has lapsed", "nothing: the entry offers the request again"},
+	Crashed:         {"crashed", http.StatusBadGateway, "the target crashed while it ran this request and others", "send a repeatable request again; it is tried alone"},
+	Suspected:       {"suspected", http.StatusServiceUnavailable, "a target crashed while it ran this request; another run of it is being tried alone", "come back after Retry-After"},
 }
--- a/internal/role/mtcontrol/control.go
+++ b/internal/role/mtcontrol/control.go
@@ -20,6 +20,7 @@
 	list   *mtlist.List
 	status func() *mustardtidev1.StatusReply
 	drain  func() uint32
+	bans   func() [][]byte
 }
 
 // New returns the control service of one process. status describes it; drain
@@ -28,13 +29,20 @@
 	return &Control{log: log, spread: spread, list: list, status: status, drain: drain}
 }
 
+// Carry adds to every message what this process has quarantined of late.
+func (c *Control) Carry(bans func() [][]byte) { c.bans = bans }
+
 // Peer is what every message of this process carries.
 func (c *Control) Peer() *mustardtidev1.Peer {
-	return &mustardtidev1.Peer{
+	peer := &mustardtidev1.Peer{
 		Stamp:    c.log.Clock().Now(),
 		Revision: c.spread.Snapshot().Revision(),
 		Source:   c.log.Source(),
 	}
+	if c.bans != nil {
+		peer.Bans = c.bans()
+	}
+	return peer
 }
 
 // Pull gives the settings in force and the last known list of instances.
--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -34,6 +34,7 @@
 			return
 		}
 		e.note(mtkind.AttemptRefused, t, refusal.Error())
+		e.suspect(t, refusal)
 		if ctx.Err() != nil || !again(t, out, refusal) {
 			break
 		}
@@ -65,7 +66,7 @@
 // broken lists the codes of answers that another target may well complete.
 func broken(code mtcode.Code) bool {
 	switch code {
-	case mtcode.TargetDied, mtcode.Incomplete, mtcode.Unreachable, mtcode.RunUnknown,
+	case mtcode.TargetDied, mtcode.Crashed, mtcode.Incomplete, mtcode.Unreachable, mtcode.RunUnknown,
 		mtcode.BadTargetAnswer, mtcode.TargetRefused, mtcode.OffsetDropped, mtcode.Leaving:
 		return true
 	default:
--- a/internal/role/mtentry/attempt.go
+++ b/internal/role/mtentry/attempt.go
@@ -139,7 +139,7 @@
 
 // take passes one frame on; ended says that it was the last one.
 func (a *attempt) take(frame *mustardtidev1.Frame, pool *pool) (refusal *mtrefusal.Refusal, ended bool, err error) {
-	a.entry.log.Clock().See(frame.GetPeer().GetStamp())
+	a.entry.hear(frame.GetPeer())
 	data, err := a.received.Take(frame)
 	if err != nil {
 		return nil, false, err
--- a/internal/role/mtentry/choose.go
+++ b/internal/role/mtentry/choose.go
@@ -148,7 +148,7 @@
 		}
 		return offered{number: number, err: err}
 	}
-	e.log.Clock().See(reply.Msg.GetPeer().GetStamp())
+	e.hear(reply.Msg.GetPeer())
 	e.evidence.Heard(member.GetAddress(), reply.Msg.GetState())
 	return offered{number: number, reply: reply.Msg}
 }
--- a/internal/role/mtentry/entry.go
+++ b/internal/role/mtentry/entry.go
@@ -18,6 +18,8 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtevent"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/outside/mtplatform"
+	"github.com/mustardtide/mustardtide/internal/request/mtquarantine"
+	"github.com/mustardtide/mustardtide/internal/request/mtsuspicion"
 	"github.com/mustardtide/mustardtide/internal/role/mtcontrol"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
@@ -36,6 +38,7 @@
 	control  *mtcontrol.Control
 	clients  *clients
 	places   *places
+	poison   *mtquarantine.Table
 	started  time.Time
 	live     atomic.Int64
 	draining atomic.Bool
@@ -60,6 +63,8 @@
 	e.clients = newClients(network, e.peer)
 	e.places = newPlaces(process.GetDatacentre(), xxh3.HashString(process.GetName()))
 	e.control = mtcontrol.New(log, e.spread, e.list, e.status, e.drain)
+	e.poison = mtquarantine.New()
+	e.control.Carry(e.poison.Bans)
 	return e
 }
 
@@ -79,7 +84,7 @@
 	mux.Handle(mustardtidev1connect.NewControlServiceHandler(e.control))
 	mux.Handle("/metrics", e.log.Metrics())
 	client := mtplatform.New(e.process.GetPlatform(), e.process.GetNamespace(), e.net.Outside())
-	e.ends = append(e.ends, e.spread.Follow(ctx, client), e.list.Follow(ctx, client), e.evidence.Follow(ctx))
+	e.ends = append(e.ends, e.spread.Follow(ctx, client), e.list.Follow(ctx, client), e.evidence.Follow(ctx), mtsuspicion.New(client).Follow(ctx, e.suspicion))
 	e.log.Add(mtkind.EntryStarted, &mustardtidev1.Event{Text: public.Addr().String()})
 	return []*mtserver.Server{
 		mtserver.New(public, nil, e.routes()),
--- a/internal/role/mtentry/serve.go
+++ b/internal/role/mtentry/serve.go
@@ -52,6 +52,11 @@
 		return
 	}
 	e.note(mtkind.RequestAccepted, t, "")
+	if refusal := e.screen(t.work); refusal != nil {
+		e.note(mtkind.RequestRefused, t, refusal.Error())
+		mtcaller.Refuse(w, run, refusal)
+		return
+	}
 	ctx, cancel := e.bound(r.Context(), t.left)
 	defer cancel()
 	e.answer(ctx, w, t)
--- a/internal/role/mtsidecar/admit.go
+++ b/internal/role/mtsidecar/admit.go
@@ -22,6 +22,7 @@
 	weights  map[string]float64
 	waiting  map[runKey]chan *mtrefusal.Refusal
 	timer    *time.Timer
+	down     bool
 }
 
 func newAdmit() *admit {
@@ -49,7 +50,7 @@
 	answer := make(chan *mtrefusal.Refusal, 1)
 	a.mu.Lock()
 	a.configure(snapshot, work.GetService())
-	refusal := a.queue.Add(work, matched)
+	refusal := a.add(work, matched)
 	if refusal == nil {
 		a.waiting[key] = answer
 		a.step()
@@ -66,6 +67,35 @@
 	}
 }
 
+func (a *admit) add(work *mustardtidev1.Work, matched uint64) *mtrefusal.Refusal {
+	if a.down {
+		return targetDown()
+	}
+	return a.queue.Add(work, matched)
+}
+
+// target takes in whether the target's program answers. While it does not,
+// nothing is handed to it and what waits is handed back at once: it would wait
+// for a cold start that another target does not need, and a run begun on a dead
+// program would be blamed for its death.
+func (a *admit) target(up bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.down = !up
+	if up {
+		return
+	}
+	for key, answer := range a.waiting {
+		a.queue.Done(key.run, key.attempt, nil)
+		answer <- targetDown()
+	}
+	clear(a.waiting)
+}
+
+func targetDown() *mtrefusal.Refusal {
+	return mtrefusal.New(mtcode.NoTarget, "the target's program does not answer").After(probeEvery)
+}
+
 // withdraw takes a run out whose caller or deadline is gone. Where its start
 // came at the same moment, its place is given back.
 func (a *admit) withdraw(ctx context.Context, key runKey, answer <-chan *mtrefusal.Refusal) *mtrefusal.Refusal {
--- a/internal/role/mtsidecar/offer.go
+++ b/internal/role/mtsidecar/offer.go
@@ -17,7 +17,7 @@
 
 // Offer says what this target would make of a request.
 func (s *Sidecar) Offer(_ context.Context, ask *connect.Request[mustardtidev1.OfferRequest]) (*connect.Response[mustardtidev1.OfferReply], error) {
-	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
+	s.hear(ask.Msg.GetPeer())
 	work := ask.Msg.GetWork()
 	reply := &mustardtidev1.OfferReply{Peer: s.control.Peer(), State: s.state()}
 	if refusal := s.unfit(work); refusal != nil {
--- a/internal/role/mtsidecar/run.go
+++ b/internal/role/mtsidecar/run.go
@@ -13,7 +13,7 @@
 
 // Run takes a request and streams its answer.
 func (s *Sidecar) Run(ctx context.Context, ask *connect.Request[mustardtidev1.RunRequest], stream *connect.ServerStream[mustardtidev1.Frame]) error {
-	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
+	s.hear(ask.Msg.GetPeer())
 	work := ask.Msg.GetWork()
 	if refusal := s.unfit(work); refusal != nil {
 		return s.refuse(work, refusal, stream)
@@ -120,6 +120,7 @@
 		finish := s.execute(ctx, ask, started)
 		s.settle(expected, finish)
 		started.buffer.Finish(finish)
+		s.acquit(work, finish)
 	}()
 	return started
 }
@@ -129,6 +130,9 @@
 	if known := s.attach(ctx, ask.GetWork(), started); known != nil {
 		return known
 	}
+	if refusal := s.try(ctx, ask.GetWork()); refusal != nil {
+		return refusalFinish(refusal)
+	}
 	if refusal := s.admit.enter(ctx, s.spread.Snapshot(), ask.GetWork(), started.matched); refusal != nil {
 		return refusalFinish(refusal)
 	}
@@ -152,10 +156,11 @@
 func (s *Sidecar) perform(ctx context.Context, ask *mustardtidev1.RunRequest, started *run, emit func(*mustardtidev1.Frame) error) *mustardtidev1.Finish {
 	work := ask.GetWork()
 	s.note(mtkind.RunBegan, work, "")
+	source := s.incarnationOf()
 	finish, err := call(ctx, s.program(s.service()), work, ask.GetCall(), s.firstly(work, emit))
 	if err != nil {
 		s.note(mtkind.RunFailed, work, err.Error())
-		return &mustardtidev1.Finish{Refusal: failure(ctx, started, err).Message()}
+		return &mustardtidev1.Finish{Refusal: s.judge(work, source, failure(ctx, started, err)).Message()}
 	}
 	s.note(mtkind.RunFinished, work, "")
 	return finish
--- a/internal/role/mtsidecar/sidecar.go
+++ b/internal/role/mtsidecar/sidecar.go
@@ -22,6 +22,8 @@
 	"github.com/mustardtide/mustardtide/internal/prefix/mtview"
 	"github.com/mustardtide/mustardtide/internal/request/mtclaim"
 	"github.com/mustardtide/mustardtide/internal/request/mtonce"
+	"github.com/mustardtide/mustardtide/internal/request/mtquarantine"
+	"github.com/mustardtide/mustardtide/internal/request/mtsuspicion"
 	"github.com/mustardtide/mustardtide/internal/role/mtcontrol"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
@@ -43,8 +45,11 @@
 	once    *mtonce.Table
 	claims  *mtclaim.Claims
 	homes   *homes
-	server  *mtserver.Server
-	started time.Time
+	poison  *mtquarantine.Table
+	// suspicions are shared through the platform.
+	suspicions *mtsuspicion.Store
+	server     *mtserver.Server
+	started    time.Time
 	// boot names this start of the process; base bounds its runs.
 	boot string
 	base context.Context
@@ -70,12 +75,14 @@
 		runs:    newRuns(),
 		admit:   newAdmit(),
 		once:    mtonce.New(),
+		poison:  mtquarantine.New(),
 		homes:   newHomes(network.Internal(), network.Scheme()),
 		started: time.Now(),
 		boot:    rand.Text(),
 		base:    context.Background(),
 	}
 	s.control = mtcontrol.New(log, s.spread, s.list, s.status, s.drain)
+	s.control.Carry(s.poison.Bans)
 	return s
 }
 
@@ -94,6 +101,7 @@
 	s.server = mtserver.New(listener, s.net.ServerTLS(), mttls.Guard(mux))
 	client := mtplatform.New(s.process.GetPlatform(), s.process.GetNamespace(), s.net.Outside())
 	s.claims = mtclaim.New(client, s.log)
+	s.suspicions = mtsuspicion.New(client)
 	s.ends = append(s.ends, s.claims.Follow(ctx), s.spread.Follow(ctx, client), s.list.Follow(ctx, client), s.watchTarget(ctx))
 	s.log.Add(mtkind.SidecarStarted, &mustardtidev1.Event{Target: s.process.GetName(), Text: listener.Addr().String()})
 	return s.server, nil
--- /dev/null
+++ b/internal/role/mtsidecar/suspect.go
@@ -0,0 +1,108 @@
+package mtsidecar
+
+import (
+	"context"
+	"time"
+
+	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
+	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+)
+
+// trialPause is when a suspect may come back while another of its runs is being
+// tried: about the time of one run.
+const trialPause = 5 * time.Second
+
+// hear takes in what another process has quarantined.
+func (s *Sidecar) hear(peer *mustardtidev1.Peer) {
+	s.log.Clock().See(peer.GetStamp())
+	s.poison.Learn(peer.GetBans())
+}
+
+// try says why a request may not run, or nil. A quarantined one never runs; a
+// suspect's rerun is claimed, so that two entries do not rerun it at once. While
+// the platform is down a suspect runs alone on the word of its entry.
+func (s *Sidecar) try(ctx context.Context, work *mustardtidev1.Work) *mtrefusal.Refusal {
+	if s.poison.Banned(work.GetPrint()) {
+		return quarantined()
+	}
+	work.Suspect = work.GetSuspect() || s.poison.Suspect(work.GetPrint())
+	if !work.GetSuspect() {
+		return nil
+	}
+	known, err := s.suspicions.Try(ctx, work.GetPrint(), work.GetRun())
+	switch {
+	case err != nil:
+		return nil
+	case known.GetBanned():
+		return s.ban(work)
+	case known.GetTrial() != work.GetRun():
+		return mtrefusal.New(mtcode.Suspected, "").After(trialPause)
+	default:
+		return nil
+	}
+}
+
+// incarnationOf names the target's program as it was when a run was handed to
+// it, for the account of its crash.
+func (s *Sidecar) incarnationOf() string { return s.process.GetName() + "/" + s.view.Incarnation() }
+
+// judge looks at a run that failed. Where the target's program has died with
+// it, the run's request becomes a suspect, and at the second crash it is
+// quarantined: without that its caller's resends take down one target after
+// another. A broken connection to a program that lives is no crash.
+func (s *Sidecar) judge(work *mustardtidev1.Work, source string, refusal *mtrefusal.Refusal) *mtrefusal.Refusal {
+	if refusal.Code() != mtcode.TargetDied || refusal.Ran() == mustardtidev1.Ran_NO || !s.died(source) {
+		return refusal
+	}
+	s.note(mtkind.RunSuspected, work, source)
+	banned := s.poison.Crash(work.GetPrint(), source)
+	known, err := s.suspicions.Crash(s.base, work.GetPrint(), source, work.GetSuspect())
+	if err != nil {
+		// Without the platform the entry's word is the first crash.
+		banned = banned || work.GetSuspect()
+	}
+	if banned || known.GetBanned() {
+		return s.ban(work).Having(refusal.Ran())
+	}
+	return mtrefusal.New(mtcode.Crashed, refusal.Reason()).Having(refusal.Ran())
+}
+
+func (s *Sidecar) ban(work *mustardtidev1.Work) *mtrefusal.Refusal {
+	s.poison.Ban(work.GetPrint())
+	s.note(mtkind.RunQuarantined, work, "")
+	return quarantined()
+}
+
+// acquit clears a suspect that has run to its end.
+func (s *Sidecar) acquit(work *mustardtidev1.Work, finish *mustardtidev1.Finish) {
+	if !work.GetSuspect() || !finish.GetComplete() {
+		return
+	}
+	s.poison.Clear(work.GetPrint())
+	// An object that stays lapses by itself.
+	_ = s.suspicions.Clear(s.base, work.GetPrint())
+}
+
+// died asks whether the program that a run was handed to is gone.
+func (s *Sidecar) died(source string) bool {
+	ctx, cancel := context.WithTimeout(s.base, probeTimeout)
+	defer cancel()
+	switch t := s.program(s.service()).(type) {
+	case engineTarget:
+		incarnation, err := t.Incarnation(ctx)
+		if err != nil {
+			s.report(false)
+			return s.base.Err() == nil
+		}
+		s.incarnate(incarnation)
+		return s.incarnationOf() != source
+	case serviceTarget:
+		return t.Healthy(ctx) != nil && s.base.Err() == nil
+	default:
+		return false
+	}
+}
+
+func quarantined() *mtrefusal.Refusal { return mtrefusal.New(mtcode.Quarantined, "").Finally() }
--- a/internal/role/mtsidecar/watch.go
+++ b/internal/role/mtsidecar/watch.go
@@ -95,6 +95,7 @@
 	if s.up.Swap(up) == up {
 		return
 	}
+	s.admit.target(up)
 	kind := mtkind.TargetDown
 	if up {
 		kind = mtkind.TargetUp
--- a/internal/standin/mtengine/engine.go
+++ b/internal/standin/mtengine/engine.go
@@ -28,7 +28,6 @@
 	slots   chan struct{}
 	prefill float64
 	decode  time.Duration
-	started time.Time
 
 	prefilling chan struct{} // a mutex held in a sleep would stop a paused clock
 	mu         sync.Mutex
@@ -39,6 +38,10 @@
 	waiting  atomic.Int64
 	begun    atomic.Int64
 	computed atomic.Int64
+	crashes  atomic.Int64
+	marker   atomic.Pointer[string]
+	life     atomic.Pointer[life]
+	blocks   int
 	mux      *http.ServeMux
 }
 
@@ -50,10 +53,11 @@
 		prefill:    prefill,
 		decode:     decode,
 		prefilling: make(chan struct{}, 1),
-		started:    time.Now(),
 		cache:      mtblocks.New(blocks),
+		blocks:     blocks,
 		mux:        http.NewServeMux(),
 	}
+	e.life.Store(newLife(time.Now()))
 	e.events.wake = make(chan struct{})
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
@@ -63,11 +67,6 @@
 	return e
 }
 
-// ServeHTTP answers one call.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.mux.ServeHTTP(w, r)
-}
-
 // Begun counts the requests that this engine began to run.
 func (e *Engine) Begun() int64 { return e.begun.Load() }
 
@@ -75,7 +74,7 @@
 func (e *Engine) Computed() int64 { return e.computed.Load() }
 
 func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
-	fmt.Fprintf(w, "process_start_time_seconds %.9f\n", float64(e.started.UnixNano())/float64(time.Second))
+	fmt.Fprintf(w, "process_start_time_seconds %.9f\n", float64(e.life.Load().start.UnixNano())/float64(time.Second))
 	fmt.Fprintf(w, "vllm:num_requests_running %d\n", e.running.Load())
 	fmt.Fprintf(w, "vllm:num_requests_waiting %d\n", e.waiting.Load())
 }
@@ -97,6 +96,10 @@
 	if err != nil {
 		return
 	}
+	if e.poisoned(prompt) {
+		e.Crash()
+		return
+	}
 	a := answer{engine: e, ask: &ask, id: r.Header.Get("X-Request-Id"), prompt: len(prompt) / tokenBytes, cached: cached}
 	if ask.Stream {
 		a.stream(w, r)
--- a/internal/standin/mtengine/events.go
+++ b/internal/standin/mtengine/events.go
@@ -29,6 +29,14 @@
 	wake chan struct{}
 }
 
+// reset starts a new incarnation's sequence; the readers of the old one end with
+// their connections.
+func (v *events) reset() {
+	v.seq, v.kept = 0, nil
+	close(v.wake)
+	v.wake = make(chan struct{})
+}
+
 func (v *events) add(e cacheEvent) {
 	v.seq++
 	e.Seq = v.seq
