--- a/internal/admission/mtqueue/bench_test.go
+++ b/internal/admission/mtqueue/bench_test.go
@@ -7,6 +7,7 @@
 
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
@@ -26,7 +27,7 @@
 				}
 			}
 			before := heap()
-			q := mtqueue.New(&mustardtidev1.Service{Slots: 16, Prefill: 1e6, Decode: durationpb.New(10 * time.Millisecond)}, nil)
+			q := mtqueue.New(&mustardtidev1.Service{Slots: proto.Uint32(16), Prefill: proto.Float64(1e6), Decode: durationpb.New(10 * time.Millisecond)}, nil)
 			for _, work := range works[:accounts] {
 				if refusal := q.Add(work, 0); refusal != nil {
 					b.Fatal(refusal)
@@ -51,7 +52,7 @@
 func BenchmarkRefusal(b *testing.B) {
 	for _, accounts := range []int{8, 12000} {
 		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
-			q := mtqueue.New(&mustardtidev1.Service{Slots: 16, Prefill: 1e6, Decode: durationpb.New(10 * time.Millisecond)}, nil)
+			q := mtqueue.New(&mustardtidev1.Service{Slots: proto.Uint32(16), Prefill: proto.Float64(1e6), Decode: durationpb.New(10 * time.Millisecond)}, nil)
 			for i := range accounts {
 				q.Add(&mustardtidev1.Work{Run: fmt.Sprintf("run-%d", i), Account: fmt.Sprintf("account-%d", i), Prompt: 100, Output: 10, Left: durationpb.New(time.Hour)}, 0)
 			}
--- a/internal/admission/mtqueue/pattern_test.go
+++ b/internal/admission/mtqueue/pattern_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 	"gopkg.in/yaml.v3"
 
@@ -82,7 +83,7 @@
 	for _, l := range p.Load {
 		weights[l.Account] = cmp.Or(l.Weight, 1)
 	}
-	service := &mustardtidev1.Service{Name: "trip", Kind: "model", Slots: 8, Memory: p.Memory, Prefill: prefill, Decode: durationpb.New(decode)}
+	service := &mustardtidev1.Service{Name: "trip", Kind: proto.String("model"), Slots: proto.Uint32(8), Memory: proto.Uint64(p.Memory), Prefill: proto.Float64(prefill), Decode: durationpb.New(decode)}
 	t := &target{
 		queue:     mtqueue.New(service, func(account string) float64 { return weights[account] }),
 		waiting:   map[string]chan *mtrefusal.Refusal{},
--- a/internal/request/mtquarantine/table.go
+++ b/internal/request/mtquarantine/table.go
@@ -77,10 +77,10 @@
 // Crash notes that a target died while it ran a request, and reports whether
 // that quarantines the request. source names the target and its incarnation:
 // the same crash told twice counts once.
-func (t *Table) Crash(print []byte, source string) bool {
+func (t *Table) Crash(digest []byte, source string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	m := t.mark(print)
+	m := t.mark(digest)
 	if m == nil {
 		return false
 	}
@@ -95,51 +95,51 @@
 }
 
 // Ban quarantines a request.
-func (t *Table) Ban(print []byte) {
+func (t *Table) Ban(digest []byte) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if m := t.mark(print); m != nil && !m.banned {
+	if m := t.mark(digest); m != nil && !m.banned {
 		m.banned = true
 		m.since = time.Now()
 	}
 }
 
 // Learn takes in what another process has quarantined of late.
-func (t *Table) Learn(prints [][]byte) {
-	for _, print := range prints {
-		t.Ban(print)
+func (t *Table) Learn(digests [][]byte) {
+	for _, digest := range digests {
+		t.Ban(digest)
 	}
 }
 
 // Clear acquits a suspect that has run to its end.
-func (t *Table) Clear(print []byte) {
+func (t *Table) Clear(digest []byte) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if m := t.find(print); m != nil && !m.banned {
-		delete(t.marks, [size]byte(print))
+	if m := t.find(digest); m != nil && !m.banned {
+		delete(t.marks, [size]byte(digest))
 		t.count.Store(int64(len(t.marks)))
 	}
 }
 
 // Banned says that a request is quarantined.
-func (t *Table) Banned(print []byte) bool {
+func (t *Table) Banned(digest []byte) bool {
 	if t.count.Load() == 0 {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	m := t.find(print)
+	m := t.find(digest)
 	return m != nil && m.banned
 }
 
 // Suspect says that a target died while it ran the request.
-func (t *Table) Suspect(print []byte) bool {
+func (t *Table) Suspect(digest []byte) bool {
 	if t.count.Load() == 0 {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	m := t.find(print)
+	m := t.find(digest)
 	return m != nil && !m.banned
 }
 
@@ -161,11 +161,11 @@
 }
 
 // find returns a fingerprint's mark, or nil where there is none in force.
-func (t *Table) find(print []byte) *mark {
-	if len(print) != size {
+func (t *Table) find(digest []byte) *mark {
+	if len(digest) != size {
 		return nil
 	}
-	m := t.marks[[size]byte(print)]
+	m := t.marks[[size]byte(digest)]
 	if m == nil || m.lapsed(time.Now()) {
 		return nil
 	}
@@ -174,14 +174,14 @@
 
 // mark returns a fingerprint's mark, a new one if there is none in force. The
 // oldest makes room.
-func (t *Table) mark(print []byte) *mark {
-	if len(print) != size {
+func (t *Table) mark(digest []byte) *mark {
+	if len(digest) != size {
 		return nil
 	}
-	if m := t.find(print); m != nil {
+	if m := t.find(digest); m != nil {
 		return m
 	}
-	name := [size]byte(print)
+	name := [size]byte(digest)
 	t.order = slices.DeleteFunc(t.order, func(other [size]byte) bool { return other == name })
 	if len(t.order) >= kept {
 		delete(t.marks, t.order[0])
--- a/internal/request/mtsuspicion/store.go
+++ b/internal/request/mtsuspicion/store.go
@@ -51,8 +51,8 @@
 // Crash adds a crash, named by target and incarnation, and returns what is known
 // now. reported says that the crash before was known to the entry, which counts
 // where its object was never written.
-func (s *Store) Crash(ctx context.Context, print []byte, source string, reported bool) (*mustardtidev1.Suspicion, error) {
-	return s.change(ctx, print, func(m *mustardtidev1.Suspicion) bool {
+func (s *Store) Crash(ctx context.Context, digest []byte, source string, reported bool) (*mustardtidev1.Suspicion, error) {
+	return s.change(ctx, digest, func(m *mustardtidev1.Suspicion) bool {
 		if reported && len(m.GetCrashes()) == 0 {
 			m.Crashes = append(m.Crashes, "reported")
 		}
@@ -67,8 +67,8 @@
 
 // Try claims the one rerun of a suspect for a run. It has it if the returned
 // suspicion names that run.
-func (s *Store) Try(ctx context.Context, print []byte, run string) (*mustardtidev1.Suspicion, error) {
-	return s.change(ctx, print, func(m *mustardtidev1.Suspicion) bool {
+func (s *Store) Try(ctx context.Context, digest []byte, run string) (*mustardtidev1.Suspicion, error) {
+	return s.change(ctx, digest, func(m *mustardtidev1.Suspicion) bool {
 		if m.GetBanned() || m.GetTrial() == run {
 			return false
 		}
@@ -84,10 +84,10 @@
 }
 
 // Clear removes a suspicion; a quarantine stays.
-func (s *Store) Clear(ctx context.Context, print []byte) error {
+func (s *Store) Clear(ctx context.Context, digest []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	record, err := s.client.Get(ctx, name(print))
+	record, err := s.client.Get(ctx, name(digest))
 	if trace.IsNotFound(err) {
 		return nil
 	}
@@ -103,17 +103,17 @@
 // change applies a change to a suspicion until no other writer comes between.
 // A write whose answer was lost is settled by the next read: each change is
 // without effect where it has been made.
-func (s *Store) change(ctx context.Context, print []byte, apply func(*mustardtidev1.Suspicion) bool) (*mustardtidev1.Suspicion, error) {
+func (s *Store) change(ctx context.Context, digest []byte, apply func(*mustardtidev1.Suspicion) bool) (*mustardtidev1.Suspicion, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	var last error
 	for range tries {
-		record, err := s.client.Get(ctx, name(print))
+		record, err := s.client.Get(ctx, name(digest))
 		absent := trace.IsNotFound(err)
 		if err != nil && !absent {
 			return nil, trace.Wrap(err)
 		}
-		m, err := current(record, absent, print)
+		m, err := current(record, absent, digest)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
@@ -142,8 +142,8 @@
 }
 
 // current is the suspicion in force; one that has lapsed counts for nothing.
-func current(record mtrecord.Record, absent bool, print []byte) (*mustardtidev1.Suspicion, error) {
-	fresh := &mustardtidev1.Suspicion{Print: print}
+func current(record mtrecord.Record, absent bool, digest []byte) (*mustardtidev1.Suspicion, error) {
+	fresh := &mustardtidev1.Suspicion{Print: digest}
 	if absent {
 		return fresh, nil
 	}
@@ -167,4 +167,4 @@
 	return m, nil
 }
 
-func name(print []byte) string { return group + "." + hex.EncodeToString(print) }
+func name(digest []byte) string { return group + "." + hex.EncodeToString(digest) }
--- a/internal/role/mtentry/poison.go
+++ b/internal/role/mtentry/poison.go
@@ -44,5 +44,6 @@
 		t.work.Suspect = true
 	case mtcode.Unreachable, mtcode.Incomplete, mtcode.RunUnknown:
 		t.work.Suspect = t.work.GetSuspect() || refusal.Ran() == mustardtidev1.Ran_UNKNOWN
+	default:
 	}
 }
--- a/internal/role/mtsidecar/suspect.go
+++ b/internal/role/mtsidecar/suspect.go
@@ -32,9 +32,11 @@
 		return nil
 	}
 	known, err := s.suspicions.Try(ctx, work.GetPrint(), work.GetRun())
+	if err != nil {
+		s.note(mtkind.RunSuspected, work, "tried without the platform: "+err.Error())
+		known = &mustardtidev1.Suspicion{Trial: work.GetRun()}
+	}
 	switch {
-	case err != nil:
-		return nil
 	case known.GetBanned():
 		return s.ban(work)
 	case known.GetTrial() != work.GetRun():
