Try a lost connection's targets anew where every target was tried

Ruled out: the targets (they answer at once on a new connection); the sidecars' word (not run is true).

--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -22,10 +22,14 @@
 func (e *Entry) answer(ctx context.Context, w http.ResponseWriter, t *task) {
 	out := newOutput(w, t)
 	refusal := mtrefusal.New(mtcode.NoTarget, t.service.GetName()).After(comeBack)
-	for i, member := range e.choose(ctx, t) {
-		if i == maxAttempts {
+	members := e.choose(ctx, t)
+	for i := range maxAttempts {
+		// Where every target was tried, those whose connections were lost are
+		// tried anew: one that went silent loses the request, not its target.
+		if len(members) == 0 || (i >= len(members) && !broken(refusal.Code())) {
 			break
 		}
+		member := members[i%len(members)]
 		t.work.Attempt++
 		e.note(mtkind.AttemptSent, t, member.GetName())
 		refusal = e.redirect(ctx, t, out, e.attempt(ctx, member, t, out))
