--- a/internal/request/mtonce/table.go
+++ b/internal/request/mtonce/table.go
@@ -165,6 +165,21 @@
 	t.trim()
 }
 
+// Fail ends a key's run without a whole answer: who reads it now gets one
+// word, later resends another.
+func (t *Table) Fail(id []byte, now, later *mustardtidev1.Finish) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[string(id)]
+	if e == nil || e.answer == nil {
+		return
+	}
+	e.answer.Finish(now)
+	t.drop(e)
+	e.answer = mtbuffer.New(answerLimit)
+	e.answer.Finish(later)
+}
+
 // entry finds or makes the entry of an id. The lock is held.
 func (t *Table) entry(id []byte) *entry {
 	if e := t.entries[string(id)]; e != nil {
--- a/internal/role/mtsidecar/once.go
+++ b/internal/role/mtsidecar/once.go
@@ -93,9 +93,18 @@
 		return started.take(ctx, f)
 	}
 	finish := s.perform(ctx, ask, started, emit)
-	s.once.Keep(id, &mustardtidev1.Frame{Step: &mustardtidev1.Frame_Finish{Finish: finish}}, nil)
-	if finish.GetRefusal().GetRan() == mustardtidev1.Ran_NO && finish.GetRefusal() != nil {
+	refusal := mtrefusal.From(finish.GetRefusal())
+	switch {
+	case refusal == nil:
+		s.once.Keep(id, &mustardtidev1.Frame{Step: &mustardtidev1.Frame_Finish{Finish: finish}}, nil)
+	case refusal.Ran() == mustardtidev1.Ran_NO:
+		s.once.Fail(id, finish, finish)
 		s.once.Undo(id, holder)
+	case refusal.Ran() == mustardtidev1.Ran_YES:
+		s.once.Fail(id, finish, alreadyRun())
+	default:
+		hidden := mtrefusal.New(mtcode.OutcomeHidden, refusal.Error()).Having(mustardtidev1.Ran_UNKNOWN).Finally()
+		s.once.Fail(id, finish, refusalFinish(hidden))
 	}
 	return finish
 }
--- a/internal/standin/mtfleet/fleet.go
+++ b/internal/standin/mtfleet/fleet.go
@@ -102,7 +102,7 @@
 	process := f.process(n, datacentre)
 	process.Service = service
 	process.Target = "http://" + target
-	n.sidecar = mtsidecar.New(process, f.wire.Net(), n.log)
+	n.sidecar = mtsidecar.New(process, f.wire.NetOf(name), n.log)
 	ctx, cancel := context.WithCancel(f.ctx)
 	n.cancel = cancel
 	server, err := n.sidecar.Open(ctx)
@@ -123,7 +123,7 @@
 	n.public = f.address()
 	process := f.process(n, datacentre)
 	process.Public = n.public
-	n.entry = mtentry.New(process, f.wire.Net(), n.log)
+	n.entry = mtentry.New(process, f.wire.NetOf(name), n.log)
 	ctx, cancel := context.WithCancel(f.ctx)
 	n.cancel = cancel
 	servers, err := n.entry.Open(ctx)
--- a/internal/standin/mtwire/conn.go
+++ b/internal/standin/mtwire/conn.go
@@ -17,16 +17,19 @@
 type conn struct {
 	net.Conn
 	remote net.Addr
+	gate   *gate
+	far    *gate
+	held   held
 	silent atomic.Bool
 	once   sync.Once
 	closed chan struct{}
 }
 
-func newPair(address net.Addr) *pair {
+func newPair(address net.Addr, dialer, listener *gate) *pair {
 	client, server := net.Pipe()
 	return &pair{
-		client: &conn{Conn: client, remote: address, closed: make(chan struct{})},
-		server: &conn{Conn: server, remote: address, closed: make(chan struct{})},
+		client: &conn{Conn: client, remote: address, gate: dialer, far: listener, closed: make(chan struct{})},
+		server: &conn{Conn: server, remote: address, gate: listener, far: dialer, closed: make(chan struct{})},
 	}
 }
 
@@ -35,6 +38,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		c.gate.wait(c.closed)
 		if !c.silent.Load() {
 			return n, err
 		}
@@ -50,6 +54,9 @@
 	if c.silent.Load() {
 		return len(p), nil
 	}
+	if c.hold(p) {
+		return len(p), nil
+	}
 	return c.Conn.Write(p)
 }
 
--- a/internal/standin/mtwire/wire.go
+++ b/internal/standin/mtwire/wire.go
@@ -24,11 +24,12 @@
 	listeners map[string]*listener
 	pairs     map[string][]*pair
 	down      map[string]bool
+	gates     map[string]*gate
 }
 
 // New returns a network without listeners.
 func New() *Wire {
-	return &Wire{listeners: map[string]*listener{}, pairs: map[string][]*pair{}, down: map[string]bool{}}
+	return &Wire{listeners: map[string]*listener{}, pairs: map[string][]*pair{}, down: map[string]bool{}, gates: map[string]*gate{}}
 }
 
 // Net is this network as roles take it.
@@ -49,6 +50,11 @@
 
 // Dial connects to an address.
 func (w *Wire) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return w.dial(ctx, "", address)
+}
+
+func (w *Wire) dial(ctx context.Context, party, address string) (net.Conn, error) {
+	client, server := w.gate(party), w.gate(address)
 	w.mu.Lock()
 	l := w.listeners[address]
 	down := w.down[address]
@@ -56,7 +62,7 @@
 	if l == nil || down {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errRefused}
 	}
-	p := newPair(l.address)
+	p := newPair(l.address, client, server)
 	select {
 	case l.conns <- p.server:
 	case <-l.closed:
