--- a/internal/role/mtsidecar/run.go
+++ b/internal/role/mtsidecar/run.go
@@ -9,19 +9,8 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
 	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
-	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
 )
 
-// Offer says what this target would make of a request.
-func (s *Sidecar) Offer(_ context.Context, ask *connect.Request[mustardtidev1.OfferRequest]) (*connect.Response[mustardtidev1.OfferReply], error) {
-	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
-	reply := &mustardtidev1.OfferReply{Peer: s.control.Peer(), State: s.state(), Matched: s.matched(ask.Msg.GetWork())}
-	if refusal := s.unfit(ask.Msg.GetWork()); refusal != nil {
-		reply.Refusal = refusal.Message()
-	}
-	return connect.NewResponse(reply), nil
-}
-
 // Run takes a request and streams its answer.
 func (s *Sidecar) Run(ctx context.Context, ask *connect.Request[mustardtidev1.RunRequest], stream *connect.ServerStream[mustardtidev1.Frame]) error {
 	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
@@ -30,7 +19,7 @@
 		return s.refuse(work, refusal, stream)
 	}
 	started := s.start(ask.Msg)
-	begin := &mustardtidev1.Frame_Begin{Begin: &mustardtidev1.Begin{State: s.state(), Matched: s.matched(work)}}
+	begin := &mustardtidev1.Frame_Begin{Begin: &mustardtidev1.Begin{State: s.state(), Matched: started.matched}}
 	if err := s.send(stream, work, 0, &mustardtidev1.Frame{Step: begin}); err != nil {
 		return err
 	}
@@ -117,6 +106,8 @@
 	ctx, cancel := context.WithTimeout(s.base, work.GetLeft().AsDuration())
 	added := newRun(cancel)
 	added.kept = work.GetKey() != ""
+	added.matched = s.matched(work)
+	s.own(work)
 	started, fresh := s.runs.add(key, added)
 	if !fresh {
 		cancel()
@@ -125,7 +116,10 @@
 	go func() {
 		defer s.runs.end(key)
 		defer cancel()
-		started.buffer.Finish(s.execute(ctx, ask, started))
+		expected := s.expect(work)
+		finish := s.execute(ctx, ask, started)
+		s.settle(expected, finish)
+		started.buffer.Finish(finish)
 	}()
 	return started
 }
@@ -161,20 +155,6 @@
 	return finish
 }
 
-func (s *Sidecar) matched(work *mustardtidev1.Work) uint64 {
-	service := s.service()
-	if service == nil || len(work.GetChain()) == 0 {
-		return 0
-	}
-	span := int(service.GetGranule() * service.GetStride())
-	chain := mtchain.From(work.GetChain(), span)
-	return uint64(s.view.Match(chain) * span / bytesPerToken)
-}
-
-// bytesPerToken turns bytes of prompt into tokens where the engine has not
-// counted them yet.
-const bytesPerToken = 4
-
 func (s *Sidecar) note(kind mtkind.Kind, work *mustardtidev1.Work, text string) {
 	s.log.Add(kind, &mustardtidev1.Event{Run: work.GetRun(), Account: work.GetAccount(), Target: s.process.GetName(), Text: text})
 }
