--- a/internal/outside/mtservice/service_test.go
+++ b/internal/outside/mtservice/service_test.go
@@ -44,9 +44,9 @@
 					Headers: []*mustardtidev1.Header{{Name: "Idempotency-Key", Value: "slip-1"}},
 				}
 				emit := func(*mustardtidev1.Frame) error { return nil }
-				_, err = service.Run(t.Context(), call, emit)
+				_, err = service.Run(t.Context(), &mustardtidev1.Work{}, call, emit)
 				g.Expect(err).NotTo(HaveOccurred())
-				_, err = service.Run(t.Context(), call, emit)
+				_, err = service.Run(t.Context(), &mustardtidev1.Work{}, call, emit)
 				g.Expect(err).To(HaveOccurred())
 				g.Expect(calls.Load()).To(BeEquivalentTo(2), "one call for each Run")
 				transport.CloseIdleConnections()
