Let a fleet's stop wait for the stand-ins' slow calls

Ruled out: the roles (every goroutine of theirs had ended). Change: a stand-in's calls are counted and its stop waits for them. Conclusion: a fault of the scaffolding, not of the product.

--- a/internal/standin/mtfleet/fleet.go
+++ b/internal/standin/mtfleet/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -53,6 +54,7 @@
 	cancel   context.CancelFunc
 	servers  []*mtserver.Server
 	ends     []chan error
+	calls    atomic.Int64
 	drain    func(context.Context) error
 	wait     func() error
 	entry    *mtentry.Entry
--- a/internal/standin/mtfleet/stop.go
+++ b/internal/standin/mtfleet/stop.go
@@ -14,6 +14,9 @@
 // stopTimeout bounds a graceful stop in tests.
 const stopTimeout = 10 * time.Minute
 
+// callPoll is how often a stop looks whether a stand-in's calls have ended.
+const callPoll = time.Millisecond
+
 // serve runs a stand-in's handler as a node.
 func (f *Fleet) serve(name, address string, handler http.Handler) error {
 	n := f.node(name)
@@ -22,10 +25,20 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	n.start(mtserver.New(listener, nil, handler))
+	n.start(mtserver.New(listener, nil, n.counted(handler)))
 	return nil
 }
 
+// counted keeps count of a stand-in's calls under way: closing a server does
+// not end a slow handler, and a test's bubble must not end before it.
+func (n *node) counted(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.calls.Add(1)
+		defer n.calls.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
 func (n *node) start(servers ...*mtserver.Server) {
 	n.servers = servers
 	for _, server := range servers {
@@ -112,6 +125,9 @@
 	for _, end := range n.ends {
 		errors = append(errors, <-end)
 	}
+	for n.calls.Load() > 0 {
+		time.Sleep(callPoll)
+	}
 	if n.wait != nil {
 		errors = append(errors, n.wait())
 	}
