--- a/internal/role/mtsidecar/offer.go
+++ b/internal/role/mtsidecar/offer.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
@@ -16,7 +17,7 @@
 
 // Offer says what this target would make of a request.
 func (s *Sidecar) Offer(_ context.Context, ask *connect.Request[mustardtidev1.OfferRequest]) (*connect.Response[mustardtidev1.OfferReply], error) {
-	s.log.Clock().See(ask.Msg.GetPeer().GetStamp())
+	s.hear(ask.Msg.GetPeer())
 	work := ask.Msg.GetWork()
 	reply := &mustardtidev1.OfferReply{Peer: s.control.Peer(), State: s.state()}
 	if refusal := s.unfit(work); refusal != nil {
@@ -24,6 +25,13 @@
 		return connect.NewResponse(reply), nil
 	}
 	reply.Matched = s.matched(work)
+	wait, refusal := s.admit.offer(s.spread.Snapshot(), work, reply.GetMatched())
+	if refusal != nil {
+		reply.Refusal = refusal.Message()
+		return connect.NewResponse(reply), nil
+	}
+	reply.State.Wait = durationpb.New(wait)
+	reply.Ticket = work.GetRun()
 	return connect.NewResponse(reply), nil
 }
 
