--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -27,9 +27,7 @@
 		if i == maxAttempts {
 			break
 		}
-		t.work.Attempt++
-		e.note(mtkind.AttemptSent, t, member.GetName())
-		refusal = e.redirect(ctx, t, out, e.attempt(ctx, member, t, out))
+		refusal = e.try(ctx, member, t, out)
 		if refusal == nil {
 			e.note(mtkind.RequestAnswered, t, member.GetName())
 			return
@@ -48,6 +46,21 @@
 	out.fail(refusal.Having(ran))
 }
 
+// try gives a task to one target. A target that says over a new connection that
+// the old one never brought it the task gets it once more: it is there, and it
+// was chosen for what it has cached.
+func (e *Entry) try(ctx context.Context, member *mustardtidev1.Member, t *task, out *output) *mtrefusal.Refusal {
+	for first := true; ; first = false {
+		t.work.Attempt++
+		e.note(mtkind.AttemptSent, t, member.GetName())
+		refusal := e.redirect(ctx, t, out, e.attempt(ctx, member, t, out))
+		if !first || refusal == nil || refusal.Code() != mtcode.RunUnknown || refusal.Ran() != mustardtidev1.Ran_NO {
+			return refusal
+		}
+		e.note(mtkind.AttemptRefused, t, refusal.Error())
+	}
+}
+
 // either joins what two attempts say: a request did not run only if none of
 // its attempts did.
 func either(a, b mustardtidev1.Ran) mustardtidev1.Ran {
--- a/internal/role/mtsidecar/run.go
+++ b/internal/role/mtsidecar/run.go
@@ -33,7 +33,9 @@
 	refusal := s.unknown(ask.Msg.GetBoot())
 	known, found := s.runs.bar(runKey{run: work.GetRun(), attempt: work.GetAttempt()}, refusal)
 	if !found {
-		return s.refuse(work, refusal, stream)
+		// At the entry's own offset: it takes no other frame.
+		last := &mustardtidev1.Finish{Refusal: refusal.Message()}
+		return s.send(stream, work, ask.Msg.GetOffset(), s.finishFrame(ask.Msg.GetOffset(), last))
 	}
 	return s.pump(ctx, work, known, ask.Msg.GetOffset(), stream)
 }
