--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -22,21 +22,17 @@
 func (e *Entry) answer(ctx context.Context, w http.ResponseWriter, t *task) {
 	out := newOutput(w, t)
 	refusal := mtrefusal.New(mtcode.NoTarget, t.service.GetName()).After(comeBack)
-	members := e.choose(ctx, t)
-	for i := range maxAttempts {
-		// Where every target was tried, those whose connections were lost are
-		// tried anew: one that went silent loses the request, not its target.
-		if len(members) == 0 || (i >= len(members) && !broken(refusal.Code())) {
+	ran := mustardtidev1.Ran_NO
+	for i, member := range e.choose(ctx, t) {
+		if i == maxAttempts {
 			break
 		}
-		member := members[i%len(members)]
-		t.work.Attempt++
-		e.note(mtkind.AttemptSent, t, member.GetName())
-		refusal = e.redirect(ctx, t, out, e.attempt(ctx, member, t, out))
+		refusal = e.try(ctx, member, t, out)
 		if refusal == nil {
 			e.note(mtkind.RequestAnswered, t, member.GetName())
 			return
 		}
+		ran = either(ran, refusal.Ran())
 		e.note(mtkind.AttemptRefused, t, refusal.Error())
 		e.suspect(t, refusal)
 		if ctx.Err() != nil || !again(t, out, refusal) {
@@ -47,7 +43,35 @@
 	if refusal.Wait() == 0 && !refusal.Final() && broken(refusal.Code()) {
 		refusal = refusal.After(comeBack)
 	}
-	out.fail(refusal)
+	out.fail(refusal.Having(ran))
+}
+
+// try gives a task to one target. A target that says over a new connection that
+// the old one never brought it the task gets it once more: it is there, and it
+// was chosen for what it has cached.
+func (e *Entry) try(ctx context.Context, member *mustardtidev1.Member, t *task, out *output) *mtrefusal.Refusal {
+	for first := true; ; first = false {
+		t.work.Attempt++
+		e.note(mtkind.AttemptSent, t, member.GetName())
+		refusal := e.redirect(ctx, t, out, e.attempt(ctx, member, t, out))
+		if !first || refusal == nil || refusal.Code() != mtcode.RunUnknown || refusal.Ran() != mustardtidev1.Ran_NO {
+			return refusal
+		}
+		e.note(mtkind.AttemptRefused, t, refusal.Error())
+	}
+}
+
+// either joins what two attempts say: a request did not run only if none of
+// its attempts did.
+func either(a, b mustardtidev1.Ran) mustardtidev1.Ran {
+	switch {
+	case a == mustardtidev1.Ran_YES || b == mustardtidev1.Ran_YES:
+		return mustardtidev1.Ran_YES
+	case a == mustardtidev1.Ran_NO && b == mustardtidev1.Ran_NO:
+		return mustardtidev1.Ran_NO
+	default:
+		return mustardtidev1.Ran_UNKNOWN
+	}
 }
 
 // again says whether a refused task may be given to another target: what
