--- a/gen/mustardtide/v1/mustardtidev1connect/work.connect.go
+++ b/gen/mustardtide/v1/mustardtidev1connect/work.connect.go
@@ -33,6 +33,8 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
+	// SidecarServiceOrderProcedure is the fully-qualified name of the SidecarService's Order RPC.
+	SidecarServiceOrderProcedure = "/mustardtide.v1.SidecarService/Order"
 	// SidecarServiceOfferProcedure is the fully-qualified name of the SidecarService's Offer RPC.
 	SidecarServiceOfferProcedure = "/mustardtide.v1.SidecarService/Offer"
 	// SidecarServiceRunProcedure is the fully-qualified name of the SidecarService's Run RPC.
@@ -49,6 +51,7 @@
 
 // SidecarServiceClient is a client for the mustardtide.v1.SidecarService service.
 type SidecarServiceClient interface {
+	Order(context.Context, *connect.Request[v1.OrderRequest]) (*connect.Response[v1.OrderReply], error)
 	Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferReply], error)
 	Run(context.Context, *connect.Request[v1.RunRequest]) (*connect.ServerStreamForClient[v1.Frame], error)
 	Resume(context.Context, *connect.Request[v1.ResumeRequest]) (*connect.ServerStreamForClient[v1.Frame], error)
@@ -68,6 +71,12 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	sidecarServiceMethods := v1.File_mustardtide_v1_work_proto.Services().ByName("SidecarService").Methods()
 	return &sidecarServiceClient{
+		order: connect.NewClient[v1.OrderRequest, v1.OrderReply](
+			httpClient,
+			baseURL+SidecarServiceOrderProcedure,
+			connect.WithSchema(sidecarServiceMethods.ByName("Order")),
+			connect.WithClientOptions(opts...),
+		),
 		offer: connect.NewClient[v1.OfferRequest, v1.OfferReply](
 			httpClient,
 			baseURL+SidecarServiceOfferProcedure,
@@ -109,6 +118,7 @@
 
 // sidecarServiceClient implements SidecarServiceClient.
 type sidecarServiceClient struct {
+	order  *connect.Client[v1.OrderRequest, v1.OrderReply]
 	offer  *connect.Client[v1.OfferRequest, v1.OfferReply]
 	run    *connect.Client[v1.RunRequest, v1.Frame]
 	resume *connect.Client[v1.ResumeRequest, v1.Frame]
@@ -117,6 +127,11 @@
 	claim  *connect.Client[v1.ClaimRequest, v1.ClaimReply]
 }
 
+// Order calls mustardtide.v1.SidecarService.Order.
+func (c *sidecarServiceClient) Order(ctx context.Context, req *connect.Request[v1.OrderRequest]) (*connect.Response[v1.OrderReply], error) {
+	return c.order.CallUnary(ctx, req)
+}
+
 // Offer calls mustardtide.v1.SidecarService.Offer.
 func (c *sidecarServiceClient) Offer(ctx context.Context, req *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferReply], error) {
 	return c.offer.CallUnary(ctx, req)
@@ -149,6 +164,7 @@
 
 // SidecarServiceHandler is an implementation of the mustardtide.v1.SidecarService service.
 type SidecarServiceHandler interface {
+	Order(context.Context, *connect.Request[v1.OrderRequest]) (*connect.Response[v1.OrderReply], error)
 	Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferReply], error)
 	Run(context.Context, *connect.Request[v1.RunRequest], *connect.ServerStream[v1.Frame]) error
 	Resume(context.Context, *connect.Request[v1.ResumeRequest], *connect.ServerStream[v1.Frame]) error
@@ -164,6 +180,12 @@
 // and JSON codecs. They also support gzip compression.
 func NewSidecarServiceHandler(svc SidecarServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	sidecarServiceMethods := v1.File_mustardtide_v1_work_proto.Services().ByName("SidecarService").Methods()
+	sidecarServiceOrderHandler := connect.NewUnaryHandler(
+		SidecarServiceOrderProcedure,
+		svc.Order,
+		connect.WithSchema(sidecarServiceMethods.ByName("Order")),
+		connect.WithHandlerOptions(opts...),
+	)
 	sidecarServiceOfferHandler := connect.NewUnaryHandler(
 		SidecarServiceOfferProcedure,
 		svc.Offer,
@@ -202,6 +224,8 @@
 	)
 	return "/mustardtide.v1.SidecarService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case SidecarServiceOrderProcedure:
+			sidecarServiceOrderHandler.ServeHTTP(w, r)
 		case SidecarServiceOfferProcedure:
 			sidecarServiceOfferHandler.ServeHTTP(w, r)
 		case SidecarServiceRunProcedure:
@@ -223,6 +247,10 @@
 // UnimplementedSidecarServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedSidecarServiceHandler struct{}
 
+func (UnimplementedSidecarServiceHandler) Order(context.Context, *connect.Request[v1.OrderRequest]) (*connect.Response[v1.OrderReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mustardtide.v1.SidecarService.Order is not implemented"))
+}
+
 func (UnimplementedSidecarServiceHandler) Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mustardtide.v1.SidecarService.Offer is not implemented"))
 }
--- a/internal/command/mtoperator/operator.go
+++ b/internal/command/mtoperator/operator.go
@@ -94,21 +94,15 @@
 // Drain starts the graceful stop of one process and returns the requests that
 // it still has.
 func (o *Operator) Drain(ctx context.Context, name string) (uint32, error) {
-	members, err := o.members(ctx)
+	m, err := o.find(ctx, name)
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
-	for _, m := range members {
-		if m.GetName() != name {
-			continue
-		}
-		reply, err := o.client(m).Drain(ctx, connect.NewRequest(&mustardtidev1.DrainRequest{}))
-		if err != nil {
-			return 0, trace.ConnectionProblem(err, "%s did not answer; look at `mustardtide status`", name)
-		}
-		return reply.Msg.GetRunning(), nil
+	reply, err := o.client(m).Drain(ctx, connect.NewRequest(&mustardtidev1.DrainRequest{}))
+	if err != nil {
+		return 0, trace.ConnectionProblem(err, "%s did not answer; look at `mustardtide status`", name)
 	}
-	return 0, trace.NotFound("no process is named %s; look at `mustardtide status`", name)
+	return reply.Msg.GetRunning(), nil
 }
 
 // members lists whom to ask.
--- a/internal/command/mttable/table.go
+++ b/internal/command/mttable/table.go
@@ -34,6 +34,7 @@
 	{"status", "Show every process and its target.", bindStatus},
 	{"timeline", "Show the events of all processes in one order.", bindTimeline},
 	{"drain", "Let one process take no new work and finish what it has.", bindDrain},
+	{"order", "Let a target load a model, weights or an adapter, or change its role.", bindOrder},
 	{"explain", "Explain a result code or an event's number.", bindExplain},
 	{"demo", "Show the main job in one process, with stand-ins.", bindDemo},
 	{"version", "Print the version.", bindVersion},
--- a/internal/role/mtsidecar/sidecar.go
+++ b/internal/role/mtsidecar/sidecar.go
@@ -45,6 +45,7 @@
 	once    *mtonce.Table
 	claims  *mtclaim.Claims
 	homes   *homes
+	orders  *orders
 	poison  *mtquarantine.Table
 	// suspicions are shared through the platform.
 	suspicions *mtsuspicion.Store
@@ -101,6 +102,7 @@
 	s.server = mtserver.New(listener, s.net.ServerTLS(), mttls.Guard(mux))
 	client := mtplatform.New(s.process.GetPlatform(), s.process.GetNamespace(), s.net.Outside())
 	s.claims = mtclaim.New(client, s.log)
+	s.orders = newOrders(client, s)
 	s.suspicions = mtsuspicion.New(client)
 	s.ends = append(s.ends, s.claims.Follow(ctx), s.spread.Follow(ctx, client), s.list.Follow(ctx, client), s.watchTarget(ctx))
 	s.log.Add(mtkind.SidecarStarted, &mustardtidev1.Event{Target: s.process.GetName(), Text: listener.Addr().String()})
@@ -114,6 +116,7 @@
 		errors = append(errors, <-end)
 	}
 	s.runs.wait()
+	s.orders.close()
 	s.homes.close()
 	return trace.NewAggregate(errors...)
 }
--- a/internal/role/mttls/guard.go
+++ b/internal/role/mttls/guard.go
@@ -29,6 +29,7 @@
 		mustardtidev1connect.SidecarServiceAckProcedure:    {RoleEntry},
 		mustardtidev1connect.SidecarServiceCancelProcedure: {RoleEntry},
 		mustardtidev1connect.SidecarServiceClaimProcedure:  {RoleSidecar},
+		mustardtidev1connect.SidecarServiceOrderProcedure:  {RoleOperator},
 		mustardtidev1connect.ControlServiceDrainProcedure:  {RoleOperator},
 	}
 }
--- a/internal/standin/mtengine/engine.go
+++ b/internal/standin/mtengine/engine.go
@@ -33,6 +33,7 @@
 	mu         sync.Mutex
 	cache      *mtblocks.Cache
 	events     events
+	orders     orders
 
 	running  atomic.Int64
 	waiting  atomic.Int64
@@ -63,6 +64,8 @@
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	e.mux.HandleFunc("GET /kv_events", e.follow)
 	e.mux.HandleFunc("GET /metrics", e.metrics)
+	e.mux.HandleFunc("POST /order", e.takeOrder)
+	e.mux.HandleFunc("GET /order", e.showOrders)
 	e.mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	return e
 }
--- a/internal/standin/mtfleet/proof_once_test.go
+++ b/internal/standin/mtfleet/proof_once_test.go
@@ -142,6 +142,9 @@
 	}},
 }
 
+// lastCalls is longer than the platform's slowest call.
+const lastCalls = 5 * time.Second
+
 // platformLatency is the stand-in platform's time for one call.
 const platformLatency = 3 * time.Millisecond
 
@@ -389,6 +392,8 @@
 				h.count(proof)
 				h.client.CloseIdleConnections()
 				h.Expect(h.fleet.Close()).To(Succeed())
+				// A slow call of the platform outlives its connection.
+				time.Sleep(lastCalls)
 			})
 		})
 	}
--- /dev/null
+++ b/internal/standin/mtfleet/proof_order_test.go
@@ -0,0 +1,252 @@
+package mtfleet_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
+	"github.com/mustardtide/mustardtide/internal/command/mtoperator"
+	platformclient "github.com/mustardtide/mustardtide/internal/outside/mtplatform"
+	"github.com/mustardtide/mustardtide/internal/standin/mtengine"
+	"github.com/mustardtide/mustardtide/internal/standin/mtfleet"
+	"github.com/mustardtide/mustardtide/internal/standin/mtproof"
+)
+
+// Sizes of one history of the proof.
+const (
+	orderHistories = 40
+	orderEngines   = 3
+	orderOperators = 3
+	orderRounds    = 6
+	orderLimit     = 2
+	orderLoad      = 4 * time.Second
+	// orderLatency is long so that many pauses fall between lease and order.
+	orderLatency = 300 * time.Millisecond
+)
+
+// orderBase has a service whose engines check fencing numbers and one whose
+// engines ignore them.
+const orderBase = `
+datacentres: [imanta]
+accounts:
+  - name: schools
+    hashes: [c2b2c8d9d0bbecf03be7238fcd16281cf54e084a4bcdd02cd5fd0a7fd1dd6b3c]
+services:
+  - {name: fenced, kind: model, model: dossier, deadline: 60s, granule: 64, stride: 16, loads: 2, fenced: true}
+  - {name: plain, kind: model, model: draft, deadline: 60s, granule: 64, stride: 16, loads: 2}
+`
+
+// orderHistory is one seeded run.
+type orderHistory struct {
+	Gomega
+	seed   uint64
+	random *rand.Rand
+	fleet  *mtfleet.Fleet
+	names  []string
+
+	engines   map[string]*mtengine.Engine
+	addresses map[string]string
+	faults    []string
+
+	mu     sync.Mutex
+	loads  map[string]int
+	most   int
+	sent   []orderSent
+	stores []*http.Transport
+}
+
+// orderSent is an order as its operator saw it.
+type orderSent struct {
+	target string
+	number uint64
+	err    error
+}
+
+func (h *orderHistory) setUp() {
+	var err error
+	h.fleet, err = mtfleet.New()
+	h.Expect(err).NotTo(HaveOccurred())
+	h.fleet.Platform().Faults().Slow(orderLatency)
+	h.Expect(h.fleet.Submit(orderBase)).To(Succeed())
+	for _, service := range []string{"fenced", "plain"} {
+		for i := range orderEngines {
+			name := fmt.Sprintf("%s-%d", service, i)
+			engine := mtengine.New(8, 20000, 10*time.Millisecond, 100)
+			engine.TakeOrders(service == "fenced", orderLoad, func(delta int) { h.load(service, delta) })
+			h.engines[name] = engine
+			h.names = append(h.names, name)
+			h.Expect(h.fleet.AddTarget(name, service, "imanta", engine)).To(Succeed())
+			h.addresses[name] = h.fleet.Address(name)
+			h.addresses[name+"-program"] = h.fleet.Address(name + "-program")
+		}
+	}
+	time.Sleep(5 * time.Second)
+}
+
+// load counts the engines of a service that load now.
+func (h *orderHistory) load(service string, delta int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.loads[service] += delta
+	h.most = max(h.most, h.loads[service])
+}
+
+// operators give orders at random, in the same few targets' way.
+func (h *orderHistory) operators(group *sync.WaitGroup) {
+	for i := range orderOperators {
+		party := fmt.Sprintf("operator-%d", i)
+		network := h.fleet.Wire().NetOf(party)
+		store := network.Outside()
+		h.stores = append(h.stores, store)
+		operator := mtoperator.New(network, platformclient.New("http://10.0.0.1:80", "default", store), nil)
+		random := rand.New(rand.NewPCG(h.seed, uint64(i)))
+		group.Go(func() {
+			defer operator.Close()
+			for round := range orderRounds {
+				target := h.names[random.IntN(len(h.names))]
+				number, err := operator.Order(context.Background(), target, &mustardtidev1.Order{Weights: fmt.Sprintf("v%d-%d", i, round)})
+				h.mu.Lock()
+				h.sent = append(h.sent, orderSent{target: target, number: number, err: err})
+				h.mu.Unlock()
+				time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+			}
+		})
+	}
+}
+
+// disturb brings about one failure and returns what heals it.
+func (h *orderHistory) disturb() func() {
+	name := h.names[h.random.IntN(len(h.names))]
+	party := fmt.Sprintf("operator-%d", h.random.IntN(orderOperators))
+	platform := h.fleet.Platform().Faults()
+	kinds := []string{"operator paused", "operator paused", "sidecar killed", "sidecar paused", "platform down", "answers lost", "platform slow", "engine's connections cut", "sidecar's connections cut"}
+	kind := kinds[h.random.IntN(len(kinds))]
+	h.faults = append(h.faults, kind+" "+name)
+	switch kind {
+	case "operator paused":
+		h.fleet.Wire().Pause(party)
+		return func() { h.fleet.Wire().Resume(party) }
+	case "sidecar killed":
+		h.fleet.Resume(name)
+		h.Expect(h.fleet.Kill(name)).To(Succeed())
+		service := name[:len(name)-2]
+		return func() {
+			h.Expect(h.fleet.AddSidecar(name, service, "imanta", h.addresses[name+"-program"])).To(Succeed())
+		}
+	case "sidecar paused":
+		h.fleet.Pause(name)
+		return func() { h.fleet.Resume(name) }
+	case "platform down":
+		platform.Down(true)
+		return func() { platform.Down(false) }
+	case "answers lost":
+		platform.Lose(0.5)
+		return func() { platform.Lose(0) }
+	case "platform slow":
+		platform.Slow(time.Second)
+		return func() { platform.Slow(orderLatency) }
+	case "engine's connections cut":
+		h.fleet.Wire().Cut(h.addresses[name+"-program"])
+	default:
+		h.fleet.Wire().Cut(h.addresses[name])
+	}
+	return func() {}
+}
+
+// run lets operators race while things fail, two at a time.
+func (h *orderHistory) run() {
+	var group sync.WaitGroup
+	h.operators(&group)
+	for range 3 {
+		time.Sleep(time.Duration(h.random.IntN(4000)) * time.Millisecond)
+		first := h.disturb()
+		time.Sleep(time.Duration(h.random.IntN(1000)) * time.Millisecond)
+		second := func() {}
+		if last := h.faults[len(h.faults)-1]; last[:7] != "sidecar" {
+			second = h.disturb()
+		}
+		time.Sleep(time.Duration(2000+h.random.IntN(14000)) * time.Millisecond)
+		first()
+		second()
+	}
+	group.Wait()
+	time.Sleep(time.Minute)
+}
+
+// check holds what took effect at the engines against the numbers.
+func (h *orderHistory) check() {
+	h.Expect(h.most).To(BeNumerically("<=", orderLimit), "seed %d %v: %d loads at once", h.seed, h.faults, h.most)
+	applied := map[string][]uint64{}
+	for name, engine := range h.engines {
+		applied[name] = engine.Applied()
+		h.Expect(slices.IsSorted(applied[name])).To(BeTrue(), "seed %d %v: %s took orders %v", h.seed, h.faults, name, applied[name])
+	}
+	for _, s := range h.sent {
+		took := slices.Contains(applied[s.target], s.number)
+		switch refusal := mtrefusal.Find(s.err); {
+		case s.err == nil:
+			h.Expect(took).To(BeTrue(), "seed %d %v: %s lacks order %d", h.seed, h.faults, s.target, s.number)
+		case refusal != nil && refusal.Ran() == mustardtidev1.Ran_NO && s.number > 0:
+			h.Expect(took).To(BeFalse(), "seed %d %v: %s took refused order %d", h.seed, h.faults, s.target, s.number)
+		}
+	}
+}
+
+// Story: operators race to give engines orders. One is paused between taking
+// the lease and sending its order, or a sidecar dies while its engine loads;
+// meanwhile the platform is down, slow, or loses answers. An old order that
+// takes effect after a newer one would leave an engine with weights that
+// nobody wants any more, and too many loads at once would slow all of them.
+func TestProofOrdersFenced(t *testing.T) {
+	proof := mtproof.New(t, "orders-fenced")
+	for seed := range uint64(orderHistories) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := &orderHistory{
+					Gomega:    NewGomega(func(message string, _ ...int) { t.Error(message) }),
+					seed:      seed,
+					random:    rand.New(rand.NewPCG(seed, 11)),
+					engines:   map[string]*mtengine.Engine{},
+					addresses: map[string]string{},
+					loads:     map[string]int{},
+				}
+				h.setUp()
+				h.run()
+				h.check()
+				h.count(proof)
+				for _, store := range h.stores {
+					store.CloseIdleConnections()
+				}
+				h.Expect(h.fleet.Close()).To(Succeed())
+				// A slow call of the platform outlives its connection.
+				time.Sleep(lastCalls)
+			})
+		})
+	}
+}
+
+func (h *orderHistory) count(proof *mtproof.Proof) {
+	proof.Add("histories", 1)
+	proof.Add("operations", len(h.sent))
+	proof.Add("faults", len(h.faults))
+	for _, engine := range h.engines {
+		proof.Add("applied", len(engine.Applied()))
+	}
+	for _, s := range h.sent {
+		if refusal := mtrefusal.Find(s.err); refusal != nil {
+			proof.Add(refusal.Code().Name(), 1)
+		} else if s.err != nil {
+			proof.Add("unknown", 1)
+		}
+	}
+}
