--- a/internal/standin/mtfleet/proof_order_test.go
+++ b/internal/standin/mtfleet/proof_order_test.go
@@ -6,16 +6,21 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/gen/mustardtide/v1/mustardtidev1connect"
 	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
 	"github.com/mustardtide/mustardtide/internal/command/mtoperator"
+	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	platformclient "github.com/mustardtide/mustardtide/internal/outside/mtplatform"
 	"github.com/mustardtide/mustardtide/internal/standin/mtengine"
 	"github.com/mustardtide/mustardtide/internal/standin/mtfleet"
@@ -101,29 +106,47 @@
 	h.most = max(h.most, h.loads[service])
 }
 
+// operator returns an operator with a network party of its own.
+func (h *orderHistory) operator(i int) *mtoperator.Operator {
+	network := h.fleet.Wire().NetOf(fmt.Sprintf("operator-%d", i))
+	store := network.Outside()
+	h.mu.Lock()
+	h.stores = append(h.stores, store)
+	h.mu.Unlock()
+	return mtoperator.New(network, platformclient.New("http://10.0.0.1:80", "default", store), nil)
+}
+
+// order gives one order and records what came of it.
+func (h *orderHistory) order(operator *mtoperator.Operator, target, weights string) {
+	number, err := operator.Order(context.Background(), target, &mustardtidev1.Order{Weights: weights})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sent = append(h.sent, orderSent{target: target, number: number, err: err})
+}
+
 // operators give orders at random, in the same few targets' way.
 func (h *orderHistory) operators(group *sync.WaitGroup) {
 	for i := range orderOperators {
-		party := fmt.Sprintf("operator-%d", i)
-		network := h.fleet.Wire().NetOf(party)
-		store := network.Outside()
-		h.stores = append(h.stores, store)
-		operator := mtoperator.New(network, platformclient.New("http://10.0.0.1:80", "default", store), nil)
+		operator := h.operator(i)
 		random := rand.New(rand.NewPCG(h.seed, uint64(i)))
 		group.Go(func() {
 			defer operator.Close()
 			for round := range orderRounds {
-				target := h.names[random.IntN(len(h.names))]
-				number, err := operator.Order(context.Background(), target, &mustardtidev1.Order{Weights: fmt.Sprintf("v%d-%d", i, round)})
-				h.mu.Lock()
-				h.sent = append(h.sent, orderSent{target: target, number: number, err: err})
-				h.mu.Unlock()
+				h.order(operator, h.choose(random), fmt.Sprintf("v%d-%d", i, round))
 				time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
 			}
 		})
 	}
 }
 
+// choose prefers one target, so that operators meet.
+func (h *orderHistory) choose(random *rand.Rand) string {
+	if random.IntN(10) < 6 {
+		return h.names[int(h.seed)%2*orderEngines]
+	}
+	return h.names[random.IntN(len(h.names))]
+}
+
 // disturb brings about one failure and returns what heals it.
 func (h *orderHistory) disturb() func() {
 	name := h.names[h.random.IntN(len(h.names))]
@@ -175,7 +198,7 @@
 		if last := h.faults[len(h.faults)-1]; last[:7] != "sidecar" {
 			second = h.disturb()
 		}
-		time.Sleep(time.Duration(2000+h.random.IntN(14000)) * time.Millisecond)
+		time.Sleep(time.Duration(2000+h.random.IntN(24000)) * time.Millisecond)
 		first()
 		second()
 	}
@@ -209,38 +232,99 @@
 // nobody wants any more, and too many loads at once would slow all of them.
 func TestProofOrdersFenced(t *testing.T) {
 	proof := mtproof.New(t, "orders-fenced")
+	for _, target := range []string{"fenced-0", "plain-0"} {
+		for _, restart := range []bool{false, true} {
+			t.Run(fmt.Sprintf("paused holder/%s/restart=%v", target, restart), func(t *testing.T) {
+				withOrders(t, proof, 0, func(h *orderHistory) { h.pausedHolder(target, restart) })
+			})
+		}
+	}
 	for seed := range uint64(orderHistories) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				h := &orderHistory{
-					Gomega:    NewGomega(func(message string, _ ...int) { t.Error(message) }),
-					seed:      seed,
-					random:    rand.New(rand.NewPCG(seed, 11)),
-					engines:   map[string]*mtengine.Engine{},
-					addresses: map[string]string{},
-					loads:     map[string]int{},
-				}
-				h.setUp()
-				h.run()
-				h.check()
-				h.count(proof)
-				for _, store := range h.stores {
-					store.CloseIdleConnections()
-				}
-				h.Expect(h.fleet.Close()).To(Succeed())
-				// A slow call of the platform outlives its connection.
-				time.Sleep(lastCalls)
-			})
+			withOrders(t, proof, seed, (*orderHistory).run)
 		})
 	}
 }
 
+// withOrders checks one history.
+func withOrders(t *testing.T, proof *mtproof.Proof, seed uint64, run func(*orderHistory)) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &orderHistory{
+			Gomega:    NewGomega(func(message string, _ ...int) { t.Error(message) }),
+			seed:      seed,
+			random:    rand.New(rand.NewPCG(seed, 11)),
+			engines:   map[string]*mtengine.Engine{},
+			addresses: map[string]string{},
+			loads:     map[string]int{},
+		}
+		h.setUp()
+		run(h)
+		h.check()
+		h.count(proof)
+		for _, store := range h.stores {
+			store.CloseIdleConnections()
+		}
+		h.Expect(h.fleet.Close()).To(Succeed())
+		// A slow call of the platform outlives its connection.
+		time.Sleep(lastCalls)
+	})
+}
+
+// pausedHolder lets an operator be paused while its lease is written, another
+// take the lease over, and the first go on. The sidecar may have been started
+// anew in between, and then knows only what the lease tells it.
+func (h *orderHistory) pausedHolder(target string, restart bool) {
+	var group sync.WaitGroup
+	order := func(i int, weights string) {
+		operator := h.operator(i)
+		defer operator.Close()
+		h.order(operator, target, weights)
+	}
+	group.Go(func() { order(0, "old") })
+	// The list and the lease are read; the write is on its way.
+	time.Sleep(2*orderLatency + orderLatency/2)
+	h.fleet.Wire().Pause("operator-0")
+	h.faults = append(h.faults, "operator paused behind its lease")
+	order(1, "new")
+	if restart {
+		h.faults = append(h.faults, "sidecar killed")
+		h.Expect(h.fleet.Kill(target)).To(Succeed())
+		h.Expect(h.fleet.AddSidecar(target, target[:len(target)-2], "imanta", h.addresses[target+"-program"])).To(Succeed())
+		time.Sleep(5 * time.Second)
+	}
+	h.fleet.Wire().Resume("operator-0")
+	group.Wait()
+	h.Expect(h.sent).To(HaveLen(2))
+	h.Expect(h.sent[0].err).NotTo(HaveOccurred())
+	h.Expect(h.sent[1].number).To(BeNumerically("<", h.sent[0].number))
+	h.Expect(h.sent[1].err).To(HaveOccurred())
+	h.Expect(h.resend(target, h.sent[1].number).Code()).To(Equal(mtcode.OrderFenced))
+	h.Expect(h.engines[target].Applied()).To(Equal([]uint64{h.sent[0].number}))
+}
+
+// resend gives an old order to whichever sidecar stands beside the target now,
+// as it comes where a new process has its predecessor's address.
+func (h *orderHistory) resend(target string, number uint64) *mtrefusal.Refusal {
+	transport := h.fleet.Wire().Net().Internal()
+	defer transport.CloseIdleConnections()
+	client := mustardtidev1connect.NewSidecarServiceClient(&http.Client{Transport: transport}, "http://"+h.fleet.Address(target))
+	reply, err := client.Order(context.Background(), connect.NewRequest(&mustardtidev1.OrderRequest{Number: number, Order: &mustardtidev1.Order{Weights: "old"}}))
+	h.Expect(err).NotTo(HaveOccurred())
+	return mtrefusal.From(reply.Msg.GetRefusal())
+}
+
 func (h *orderHistory) count(proof *mtproof.Proof) {
 	proof.Add("histories", 1)
 	proof.Add("operations", len(h.sent))
 	proof.Add("faults", len(h.faults))
-	for _, engine := range h.engines {
+	for name, engine := range h.engines {
 		proof.Add("applied", len(engine.Applied()))
+		events, _ := h.fleet.Log(name).Events(&mustardtidev1.EventsRequest{})
+		for _, e := range events {
+			if e.GetCode() == uint32(mtkind.OrderRefused) && strings.Contains(e.GetText(), mtcode.OrderFenced.Name()) {
+				proof.Add("fenced", 1)
+			}
+		}
 	}
 	for _, s := range h.sent {
 		if refusal := mtrefusal.Find(s.err); refusal != nil {
