--- a/internal/standin/mtfleet/proof_order_test.go
+++ b/internal/standin/mtfleet/proof_order_test.go
@@ -117,8 +117,8 @@
 }
 
 // order gives one order and records what came of it.
-func (h *orderHistory) order(operator *mtoperator.Operator, target, weights string) {
-	number, err := operator.Order(context.Background(), target, &mustardtidev1.Order{Weights: weights})
+func (h *orderHistory) order(operator *mtoperator.Operator, target string, order *mustardtidev1.Order) {
+	number, err := operator.Order(context.Background(), target, order)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.sent = append(h.sent, orderSent{target: target, number: number, err: err})
@@ -132,7 +132,11 @@
 		group.Go(func() {
 			defer operator.Close()
 			for round := range orderRounds {
-				h.order(operator, h.choose(random), fmt.Sprintf("v%d-%d", i, round))
+				order := &mustardtidev1.Order{Weights: fmt.Sprintf("v%d-%d", i, round)}
+				if random.IntN(3) == 0 {
+					order = &mustardtidev1.Order{Role: "prefill"}
+				}
+				h.order(operator, h.choose(random), order)
 				time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
 			}
 		})
@@ -239,6 +243,11 @@
 			})
 		}
 	}
+	for _, target := range []string{"fenced-0", "plain-0"} {
+		t.Run("killed loading/"+target, func(t *testing.T) {
+			withOrders(t, proof, 0, func(h *orderHistory) { h.killedLoading(target) })
+		})
+	}
 	for seed := range uint64(orderHistories) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			withOrders(t, proof, seed, (*orderHistory).run)
@@ -278,7 +287,7 @@
 	order := func(i int, weights string) {
 		operator := h.operator(i)
 		defer operator.Close()
-		h.order(operator, target, weights)
+		h.order(operator, target, &mustardtidev1.Order{Weights: weights})
 	}
 	group.Go(func() { order(0, "old") })
 	// The list and the lease are read; the write is on its way.
@@ -298,19 +307,37 @@
 	h.Expect(h.sent[0].err).NotTo(HaveOccurred())
 	h.Expect(h.sent[1].number).To(BeNumerically("<", h.sent[0].number))
 	h.Expect(h.sent[1].err).To(HaveOccurred())
-	h.Expect(h.resend(target, h.sent[1].number).Code()).To(Equal(mtcode.OrderFenced))
+	h.Expect(h.resend(target, h.sent[1].number)).To(BeEquivalentTo(mtcode.OrderFenced))
 	h.Expect(h.engines[target].Applied()).To(Equal([]uint64{h.sent[0].number}))
 }
 
 // resend gives an old order to whichever sidecar stands beside the target now,
 // as it comes where a new process has its predecessor's address.
-func (h *orderHistory) resend(target string, number uint64) *mtrefusal.Refusal {
+func (h *orderHistory) resend(target string, number uint64) uint32 {
 	transport := h.fleet.Wire().Net().Internal()
 	defer transport.CloseIdleConnections()
 	client := mustardtidev1connect.NewSidecarServiceClient(&http.Client{Transport: transport}, "http://"+h.fleet.Address(target))
 	reply, err := client.Order(context.Background(), connect.NewRequest(&mustardtidev1.OrderRequest{Number: number, Order: &mustardtidev1.Order{Weights: "old"}}))
 	h.Expect(err).NotTo(HaveOccurred())
-	return mtrefusal.From(reply.Msg.GetRefusal())
+	return reply.Msg.GetRefusal().GetCode()
+}
+
+// killedLoading lets a sidecar die while its engine loads. The next sidecar
+// gets an order that takes effect at once, and must not let the older load end
+// behind it.
+func (h *orderHistory) killedLoading(target string) {
+	var group sync.WaitGroup
+	operator := h.operator(0)
+	group.Go(func() { h.order(operator, target, &mustardtidev1.Order{Weights: "old"}) })
+	time.Sleep(orderLoad / 2)
+	h.faults = append(h.faults, "sidecar killed while its engine loads")
+	h.Expect(h.fleet.Kill(target)).To(Succeed())
+	h.Expect(h.fleet.AddSidecar(target, target[:len(target)-2], "imanta", h.addresses[target+"-program"])).To(Succeed())
+	group.Wait()
+	h.order(operator, target, &mustardtidev1.Order{Role: "prefill"})
+	operator.Close()
+	h.Expect(h.sent[1].err).NotTo(HaveOccurred())
+	h.Expect(h.engines[target].Applied()).To(Equal([]uint64{h.sent[0].number, h.sent[1].number}))
 }
 
 func (h *orderHistory) count(proof *mtproof.Proof) {
