Do not hand back a request whose key is being claimed

Cause: a leaving sidecar handed back requests that waited for their claim. The claim named the leaving process, so that the next target was told 406, and the caller of a planned stop got "unknown" instead of an answer. Ruled out: a release record (the claim may be written after it); asking before admission (each refusal would leave a claim). Change: a run reserves itself before it claims; handBack passes it over, and the drain waits for it as for any run.

--- a/internal/role/mtsidecar/attempt.go
+++ b/internal/role/mtsidecar/attempt.go
@@ -44,6 +44,8 @@
 	// kept says that the run may not be repeated, so that it is not cancelled
 	// for want of a reader.
 	kept bool
+	// claiming says that a claim of the run's key is on its way.
+	claiming bool
 	// matched is the prompt tokens expected in the cache when the run came.
 	matched uint64
 
@@ -73,6 +75,25 @@
 	return true
 }
 
+// reserve keeps a run that is about to claim its key from being handed back: the
+// claim names this process, so that no other may run the key. It is false
+// where the run was withdrawn before.
+func (r *run) reserve() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.claiming = phase(r.phase.Load()) == waiting
+	return r.claiming
+}
+
+// handBack withdraws a run of a leaving target, unless its key is claimed.
+func (r *run) handBack(refusal *mtrefusal.Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.claiming {
+		r.withdraw(refusal)
+	}
+}
+
 // stop ends a run at its entry's word and says whether the target had it.
 func (r *run) stop() mustardtidev1.Ran {
 	if r.withdraw(mtrefusal.New(mtcode.CallerGone, "")) {
--- a/internal/role/mtsidecar/once.go
+++ b/internal/role/mtsidecar/once.go
@@ -66,6 +66,10 @@
 		s.once.Yield(id, mine)
 		return s.attach(ctx, work, started)
 	}
+	if !started.reserve() {
+		s.once.Yield(id, mine)
+		return refusalFinish(mtrefusal.New(mtcode.CallerGone, ""))
+	}
 	reply := s.claim(ctx, work)
 	if refusal := s.denied(work, reply); refusal != nil {
 		s.once.Yield(id, mine)
--- a/internal/role/mtsidecar/runs.go
+++ b/internal/role/mtsidecar/runs.go
@@ -89,7 +89,7 @@
 // handBack withdraws every run that was not handed to the target.
 func (r *runs) handBack(refusal *mtrefusal.Refusal) {
 	for _, known := range r.all() {
-		known.withdraw(refusal)
+		known.handBack(refusal)
 	}
 }
 
--- a/internal/standin/mtfleet/once_test.go
+++ b/internal/standin/mtfleet/once_test.go
@@ -1,6 +1,7 @@
 package mtfleet_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -122,3 +123,41 @@
 		g.Expect(fleet.Close()).To(Succeed())
 	})
 }
+
+// Story: a target's instance is replaced while consents wait for their claims,
+// which take long because the platform is slow. A consent that was handed back
+// then would leave its claim with the leaving sidecar, and its caller and every
+// resend would be told that its outcome is unknown.
+func TestStopWithinAClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fleet, err := mtfleet.New()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(fleet.Submit(onceBase)).To(Succeed())
+		for _, name := range []string{"consent-0", "consent-1", "consent-2"} {
+			g.Expect(fleet.AddTarget(name, "consent", "imanta", mtservice.New(100*time.Millisecond))).To(Succeed())
+		}
+		g.Expect(fleet.AddEntry("entry-0", "imanta")).To(Succeed())
+		time.Sleep(5 * time.Second)
+		transport := fleet.Wire().Net().Outside()
+		client := &http.Client{Transport: transport}
+		entry := fleet.Entry("entry-0")
+		for i := range 32 {
+			g.Expect(post(client, entry, fmt.Sprintf("before-%d", i), "yes").status).To(Equal(http.StatusOK))
+		}
+		fleet.Platform().Faults().Slow(300 * time.Millisecond)
+		replies := make(chan reply, 24)
+		for i := range 24 {
+			go func() { replies <- post(client, entry, fmt.Sprintf("slip-%d", i), "yes") }()
+		}
+		time.Sleep(400 * time.Millisecond)
+		g.Expect(fleet.Stop("consent-0")).To(Succeed())
+		for range 24 {
+			got := <-replies
+			g.Expect(got.status).To(Equal(http.StatusOK), got.body)
+		}
+		transport.CloseIdleConnections()
+		g.Expect(fleet.Close()).To(Succeed())
+		time.Sleep(lastCalls)
+	})
+}
