--- a/internal/standin/mtfleet/proof_once_faults_test.go
+++ b/internal/standin/mtfleet/proof_once_faults_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	. "github.com/onsi/gomega"
 )
 
 // onceFault is one failure; it returns what heals it.
