--- a/internal/admission/mtqueue/pattern_test.go
+++ b/internal/admission/mtqueue/pattern_test.go
@@ -59,6 +59,7 @@
 	refused int
 	first   []time.Duration
 	after   []time.Duration
+	told    []time.Duration // how long after the sending each refusal came
 }
 
 // target is a model engine that computes prompts one after another and runs
@@ -207,6 +208,7 @@
 	case refusal != nil:
 		c.refused++
 		c.after = append(c.after, refusal.Wait())
+		c.told = append(c.told, time.Since(sent))
 	case end.Sub(sent) > left:
 		c.late++
 	default:
@@ -215,12 +217,12 @@
 	}
 }
 
-func (c *caller) percentile(share float64) time.Duration {
-	slices.Sort(c.first)
-	if len(c.first) == 0 {
+func percentile(times []time.Duration, share float64) time.Duration {
+	slices.Sort(times)
+	if len(times) == 0 {
 		return 0
 	}
-	return c.first[int(share*float64(len(c.first)-1))]
+	return times[int(share*float64(len(times)-1))]
 }
 
 // Everyone comes within a moment, one account sends far more than the others,
@@ -238,7 +240,8 @@
 				g := NewWithT(t)
 				got := play(p)
 				for account, c := range got {
-					t.Logf("%s: sent %d served %d late %d refused %d first p50 %v p99 %v", account, c.sent, c.served, c.late, c.refused, c.percentile(0.5), c.percentile(0.99))
+					t.Logf("%s: sent %d served %d late %d refused %d first p50 %v p99 %v", account, c.sent, c.served, c.late, c.refused, percentile(c.first, 0.5), percentile(c.first, 0.99))
+					g.Expect(percentile(c.told, 0.5)).To(BeNumerically("<", time.Millisecond), "most refusals come at once")
 					for _, after := range c.after {
 						g.Expect(after).To(BeNumerically(">", 0))
 					}
@@ -246,7 +249,7 @@
 				for _, w := range p.Want {
 					c := got[w.Account]
 					g.Expect(float64(c.served)/float64(c.sent)).To(BeNumerically(">=", w.Served), w.Account)
-					g.Expect(c.percentile(0.99)).To(BeNumerically("<=", w.First), w.Account)
+					g.Expect(percentile(c.first, 0.99)).To(BeNumerically("<=", w.First), w.Account)
 					g.Expect(c.late).To(BeNumerically("<=", w.Late), w.Account)
 				}
 			})
--- a/internal/admission/mtqueue/wait.go
+++ b/internal/admission/mtqueue/wait.go
@@ -1,7 +1,6 @@
 package mtqueue
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
@@ -53,7 +52,7 @@
 	if need+need/headroom <= left {
 		return nil
 	}
-	reason := fmt.Sprintf("wait of %v and run of %v, %v left", wait.Round(time.Millisecond), (need - wait).Round(time.Millisecond), left.Round(time.Millisecond))
+	reason := "expected " + need.Round(time.Millisecond).String() + ", left " + left.Round(time.Millisecond).String()
 	return mtrefusal.New(mtcode.DeadlineTooNear, reason).After(q.comeBack(min(need-left, wait)))
 }
 
