Limit accounts and retries at the entry

Cause: one account could fill every target's queue and an entry's memory with streams; every refusal was tried at three targets, which turns an overload of 2 into one of 6; refusals of a target that is gone named no time to come back. Ruled out: a lock or a timer for each account; charging the budget for targets that leave, which would fail requests in a rolling restart; refusing with code 208, which hides why the target refused. Change: mtlimit, buckets of cost as one atomic time each and a count of streams, scaled by the live entries, refunded by the measured usage; mtretry, one budget for each service from successes with a floor, with jittered pauses; every refusal that is not final says when to come back, spread. Guards: without the advice the proof refusal-final fails (305 after:0). Conclusion: go test -race ./internal/admission/... passes.

--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -21,7 +21,7 @@
 // answer finds a target for a task and passes its answer on.
 func (e *Entry) answer(ctx context.Context, w http.ResponseWriter, t *task) {
 	out := newOutput(w, t)
-	refusal := mtrefusal.New(mtcode.NoTarget, t.service.GetName()).After(comeBack)
+	refusal := mtrefusal.New(mtcode.NoTarget, t.service.GetName())
 	members := e.choose(ctx, t)
 	for i := range maxAttempts {
 		// Where every target was tried, those whose connections were lost are
@@ -34,20 +34,18 @@
 		e.note(mtkind.AttemptSent, t, member.GetName())
 		refusal = e.redirect(ctx, t, out, e.attempt(ctx, member, t, out))
 		if refusal == nil {
+			e.budgets.of(t.service.GetName()).Succeeded(t.service.GetRetry())
 			e.note(mtkind.RequestAnswered, t, member.GetName())
 			return
 		}
 		e.note(mtkind.AttemptRefused, t, refusal.Error())
 		e.suspect(t, refusal)
-		if ctx.Err() != nil || !again(t, out, refusal) {
+		if !e.retry(ctx, t, out, refusal) {
 			break
 		}
 	}
 	e.note(mtkind.RequestBroken, t, refusal.Error())
-	if refusal.Wait() == 0 && !refusal.Final() && broken(refusal.Code()) {
-		refusal = refusal.After(comeBack)
-	}
-	out.fail(refusal)
+	out.fail(advise(refusal))
 }
 
 // again says whether a refused task may be given to another target: what
--- a/internal/role/mtentry/attempt.go
+++ b/internal/role/mtentry/attempt.go
@@ -172,6 +172,7 @@
 }
 
 func (a *attempt) finish(finish *mustardtidev1.Finish) *mtrefusal.Refusal {
+	a.task.finish = finish
 	refusal := mtrefusal.From(finish.GetRefusal())
 	if refusal == nil && !finish.GetComplete() {
 		refusal = mtrefusal.New(mtcode.Incomplete, a.member.GetName())
--- a/internal/role/mtentry/entry.go
+++ b/internal/role/mtentry/entry.go
@@ -13,6 +13,7 @@
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/gen/mustardtide/v1/mustardtidev1connect"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
 	"github.com/mustardtide/mustardtide/internal/members/mtevidence"
 	"github.com/mustardtide/mustardtide/internal/members/mtlist"
 	"github.com/mustardtide/mustardtide/internal/observe/mtevent"
@@ -39,6 +40,9 @@
 	clients  *clients
 	places   *places
 	poison   *mtquarantine.Table
+	limits   *mtlimit.Limits
+	census   census
+	budgets  budgets
 	started  time.Time
 	live     atomic.Int64
 	draining atomic.Bool
@@ -64,6 +68,7 @@
 	e.places = newPlaces(process.GetDatacentre(), xxh3.HashString(process.GetName()))
 	e.control = mtcontrol.New(log, e.spread, e.list, e.status, e.drain)
 	e.poison = mtquarantine.New()
+	e.limits = mtlimit.New()
 	e.control.Carry(e.poison.Bans)
 	return e
 }
--- a/internal/role/mtentry/serve.go
+++ b/internal/role/mtentry/serve.go
@@ -32,6 +32,7 @@
 
 // task is one caller's request on its way.
 type task struct {
+	account *mustardtidev1.Account
 	work    *mustardtidev1.Work
 	call    *mustardtidev1.Call
 	service *mustardtidev1.Service
@@ -39,6 +40,8 @@
 	stream  bool
 	// choice is set once the targets are chosen.
 	choice *mtchoice.Choice
+	// finish is the last attempt's; nil where no target gave one.
+	finish *mustardtidev1.Finish
 }
 
 // serve answers one caller.
@@ -59,6 +62,13 @@
 		mtcaller.Refuse(w, run, refusal)
 		return
 	}
+	leave, refusal := e.limit(t)
+	if refusal != nil {
+		e.note(mtkind.RequestRefused, t, refusal.Error())
+		mtcaller.Refuse(w, run, refusal)
+		return
+	}
+	defer leave()
 	ctx, cancel := e.bound(r.Context(), t.left)
 	defer cancel()
 	e.answer(ctx, w, t)
@@ -136,7 +146,7 @@
 	if left == 0 {
 		left = defaultDeadline
 	}
-	return e.task(run, account.GetName(), service, rule, request, left)
+	return e.task(run, account, service, rule, request, left)
 }
 
 func find(snapshot *mtsnapshot.Snapshot, request *mtcaller.Request) (*mustardtidev1.Service, *mtrefusal.Refusal) {
@@ -154,17 +164,17 @@
 	return service, nil
 }
 
-func (e *Entry) task(run, account string, service *mustardtidev1.Service, rule *mustardtidev1.Rule, request *mtcaller.Request, left time.Duration) (*task, *mtrefusal.Refusal) {
+func (e *Entry) task(run string, account *mustardtidev1.Account, service *mustardtidev1.Service, rule *mustardtidev1.Rule, request *mtcaller.Request, left time.Duration) (*task, *mtrefusal.Refusal) {
 	if limit := cmp.Or(service.GetBody(), defaultBody); uint64(len(request.Body())) > limit {
 		return nil, mtrefusal.New(mtcode.BodyTooLarge, fmt.Sprintf("%s takes %d bytes", service.GetName(), limit)).Finally()
 	}
 	work := &mustardtidev1.Work{
 		Run:     run,
-		Account: account,
+		Account: account.GetName(),
 		Service: service.GetName(),
 		Class:   class(rule),
 		Left:    durationpb.New(left),
-		Print:   fingerprint(account, request),
+		Print:   fingerprint(account.GetName(), request),
 	}
 	if service.GetOnce() {
 		if request.Key() == "" {
@@ -178,7 +188,7 @@
 	} else {
 		e.measure(work, service, request)
 	}
-	return &task{work: work, call: call, service: service, left: left, stream: request.Stream()}, nil
+	return &task{account: account, work: work, call: call, service: service, left: left, stream: request.Stream()}, nil
 }
 
 // measure fills in what placement and admission need of a model request.
