--- a/internal/admission/mtqueue/batch.go
+++ b/internal/admission/mtqueue/batch.go
@@ -184,20 +184,20 @@
 // remaining is the slot time still expected of the running requests, in
 // seconds. One that is past its expected end counts as far as it is late: a
 // target that stands still makes the waits grow.
-func (b *batch) remaining() float64 {
+func (b *batch) remaining(now time.Time) float64 {
 	if b.count == 0 {
 		return 0
 	}
-	return math.Abs(b.ends - time.Since(b.epoch).Seconds()*float64(b.count))
+	return math.Abs(b.ends - now.Sub(b.epoch).Seconds()*float64(b.count))
 }
 
 // computingLeft is the expected time, in seconds, until the target's prefill is
 // free; overdue work counts as far as it is late.
-func (b *batch) computingLeft() float64 {
+func (b *batch) computingLeft(now time.Time) float64 {
 	if b.computing == 0 {
 		return 0
 	}
-	return math.Abs(time.Until(b.free).Seconds())
+	return math.Abs(b.free.Sub(now).Seconds())
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/admission/mtqueue/expire.go
+++ b/internal/admission/mtqueue/expire.go
@@ -17,14 +17,15 @@
 // takes it out: those displaced by accounts with less in the queue, and those
 // whose predicted wait now passes their deadline.
 func (q *Queue) Expire(give func(*mustardtidev1.Work, *mtrefusal.Refusal)) {
+	q.now = time.Now()
 	for _, it := range q.evicted {
 		give(it.work, q.full().After(q.comeBack(0)))
 	}
 	q.evicted = q.evicted[:0]
-	if now := time.Now(); now.Sub(q.scanned) < scanEvery {
+	if q.now.Sub(q.scanned) < scanEvery {
 		return
 	}
-	q.scanned = time.Now()
+	q.scanned = q.now
 	for lane := range q.lanes {
 		q.scan(lane, give)
 	}
--- a/internal/admission/mtqueue/item.go
+++ b/internal/admission/mtqueue/item.go
@@ -80,7 +80,7 @@
 		work:    work,
 		account: work.GetAccount(),
 		matched: float64(matched),
-		due:     time.Now().Add(left),
+		due:     q.now.Add(left),
 		serial:  q.serial,
 		rank:    shuffle(q.serial),
 	}
--- a/internal/admission/mtqueue/queue.go
+++ b/internal/admission/mtqueue/queue.go
@@ -38,6 +38,7 @@
 	spread  uint64
 	serial  uint64
 	scanned time.Time
+	now     time.Time // read once for each call
 	evicted []*item
 }
 
@@ -67,11 +68,12 @@
 // Add enters a request of which the target has matched prompt tokens cached.
 // A refusal is final for this target: the request was not entered.
 func (q *Queue) Add(work *mustardtidev1.Work, matched uint64) *mtrefusal.Refusal {
+	q.now = time.Now()
 	added := q.item(work, matched)
 	if _, known := q.byKey[added.key]; known {
 		return nil
 	}
-	q.tickets.lapse(time.Now())
+	q.tickets.lapse(q.now)
 	q.tickets.drop(added.key.run)
 	added.tag = q.lane(added).start(added.account)
 	if refusal := q.judge(added); refusal != nil {
@@ -128,7 +130,8 @@
 
 // Wait is the predicted time in queue of a request that is not entered.
 func (q *Queue) Wait(work *mustardtidev1.Work, matched uint64) time.Duration {
-	q.tickets.lapse(time.Now())
+	q.now = time.Now()
+	q.tickets.lapse(q.now)
 	it := q.item(work, matched)
 	it.tag = q.lane(it).start(it.account)
 	return q.wait(it, q.tickets.held)
--- a/internal/admission/mtqueue/ticket.go
+++ b/internal/admission/mtqueue/ticket.go
@@ -40,7 +40,8 @@
 // predicted wait behind the other reservations, which only rank targets: no
 // request is refused for what may never come.
 func (q *Queue) Hold(work *mustardtidev1.Work, matched uint64) (time.Duration, *mtrefusal.Refusal) {
-	q.tickets.lapse(time.Now())
+	q.now = time.Now()
+	q.tickets.lapse(q.now)
 	it := q.item(work, matched)
 	it.tag = q.lane(it).start(it.account)
 	if refusal := q.judge(it); refusal != nil {
--- a/internal/admission/mtqueue/wait.go
+++ b/internal/admission/mtqueue/wait.go
@@ -43,7 +43,7 @@
 // The time of its own output counts only where it is learned: what a caller
 // allows at most says little.
 func (q *Queue) late(it *item, wait time.Duration) *mtrefusal.Refusal {
-	left := time.Until(it.due)
+	left := it.due.Sub(q.now)
 	own := it.need
 	if !it.known {
 		own.output = 0
@@ -80,9 +80,9 @@
 	parallel := q.rates.parallel(&q.limits)
 	slot := 0.0
 	if queued || float64(q.batch.count) >= parallel {
-		slot = q.batch.remaining() / parallel / parallel
+		slot = q.batch.remaining(q.now) / parallel / parallel
 	}
-	return max(q.batch.computingLeft(), slot)
+	return max(q.batch.computingLeft(q.now), slot)
 }
 
 // drain is how long the target takes for a sum, in seconds: prompts are
