Free the oldest kept answers without a walk over all keys

Cause: once 8 MB of answers were kept, each step of an answer walked over up to 20,000 keys under the table's lock. Change: ended answers stand in a list of their own, oldest first. Run: mtonce's tests, TestOnce and TestStopWithinAClaim with the race detector. No figure was taken for the walk.

--- a/internal/request/mtonce/table.go
+++ b/internal/request/mtonce/table.go
@@ -39,6 +39,8 @@
 	answer *mtbuffer.Buffer
 	size   int
 	place  *list.Element
+	// ended is the place among the answers that may be freed.
+	ended *list.Element
 }
 
 // Table is safe for concurrent use. What it forgets is refused later, never
@@ -47,12 +49,13 @@
 	mu      sync.Mutex
 	entries map[string]*entry
 	order   *list.List
+	ended   *list.List
 	size    int
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{entries: map[string]*entry{}, order: list.New()}
+	return &Table{entries: map[string]*entry{}, order: list.New(), ended: list.New()}
 }
 
 // Begun says whether this process has handed a key's request to the target,
@@ -161,6 +164,7 @@
 		t.size += len(step.Data)
 	case *mustardtidev1.Frame_Finish:
 		e.answer.Finish(step.Finish)
+		e.ended = t.ended.PushBack(e)
 	}
 	t.trim()
 }
@@ -205,16 +209,17 @@
 	t.size -= e.size
 	e.size = 0
 	e.answer = nil
+	if e.ended != nil {
+		t.ended.Remove(e.ended)
+		e.ended = nil
+	}
 }
 
 // trim frees the oldest answers, then the oldest keys, that have ended. The
 // lock is held.
 func (t *Table) trim() {
-	for e := t.order.Front(); e != nil && t.size > keptBytes; e = e.Next() {
-		old := e.Value.(*entry)
-		if old.answer != nil && old.answer.End() != nil {
-			t.drop(old)
-		}
+	for t.size > keptBytes && t.ended.Len() > 0 {
+		t.drop(t.ended.Front().Value.(*entry))
 	}
 	for e := t.order.Front(); e != nil && t.order.Len() > keptKeys; {
 		old := e.Value.(*entry)
