Give a suspect's rerun back that ends without an answer

Cause: the claim of the one rerun stayed for a minute where its run was refused, withdrawn or late; the caller's resends were refused with 211 meanwhile. Ruled out: a claim by run and attempt, which the entry's next attempt could not take over. Conclusion: a claim ends with its holder.

--- a/internal/request/mtsuspicion/store.go
+++ b/internal/request/mtsuspicion/store.go
@@ -53,12 +53,13 @@
 // where its object was never written.
 func (s *Store) Crash(ctx context.Context, digest []byte, source string, reported bool) (*mustardtidev1.Suspicion, error) {
 	return s.change(ctx, digest, func(m *mustardtidev1.Suspicion) bool {
+		if slices.Contains(m.GetCrashes(), source) {
+			return false
+		}
 		if reported && len(m.GetCrashes()) == 0 {
 			m.Crashes = append(m.Crashes, "reported")
 		}
-		if !slices.Contains(m.GetCrashes(), source) {
-			m.Crashes = append(m.Crashes, source)
-		}
+		m.Crashes = append(m.Crashes, source)
 		m.Banned = m.GetBanned() || len(m.GetCrashes()) >= condemned
 		m.Trial, m.Until = "", nil
 		return true
@@ -83,6 +84,18 @@
 	})
 }
 
+// Release gives back a rerun that did not come to its end and crashed nothing.
+func (s *Store) Release(ctx context.Context, digest []byte, run string) error {
+	_, err := s.change(ctx, digest, func(m *mustardtidev1.Suspicion) bool {
+		if m.GetTrial() != run {
+			return false
+		}
+		m.Trial, m.Until = "", nil
+		return true
+	})
+	return trace.Wrap(err)
+}
+
 // Clear removes a suspicion; a quarantine stays.
 func (s *Store) Clear(ctx context.Context, digest []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, patience)
--- a/internal/role/mtsidecar/run.go
+++ b/internal/role/mtsidecar/run.go
@@ -119,6 +119,7 @@
 		expected := s.expect(work)
 		finish := s.execute(ctx, ask, started)
 		s.settle(expected, finish)
+		s.release(work, finish)
 		started.buffer.Finish(finish)
 		s.acquit(work, finish)
 	}()
--- a/internal/role/mtsidecar/suspect.go
+++ b/internal/role/mtsidecar/suspect.go
@@ -87,6 +87,17 @@
 	_ = s.suspicions.Clear(s.base, work.GetPrint())
 }
 
+// release gives a suspect's rerun back that was refused, withdrawn or late. It
+// comes before the run's end is told: the entry's next attempt claims it again.
+// Without it the caller's resends are refused until the claim lapses.
+func (s *Sidecar) release(work *mustardtidev1.Work, finish *mustardtidev1.Finish) {
+	if !work.GetSuspect() || finish.GetComplete() || mtcode.Code(finish.GetRefusal().GetCode()) == mtcode.Suspected {
+		return
+	}
+	// A claim that stays lapses by itself.
+	_ = s.suspicions.Release(s.base, work.GetPrint(), work.GetRun())
+}
+
 // died asks whether the program that a run was handed to is gone.
 func (s *Sidecar) died(source string) bool {
 	ctx, cancel := context.WithTimeout(s.base, probeTimeout)
--- a/internal/standin/mtfleet/poison_test.go
+++ b/internal/standin/mtfleet/poison_test.go
@@ -1,6 +1,7 @@
 package mtfleet_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -95,7 +96,10 @@
 
 // ask sends a prompt through an entry.
 func (p *poisonFleet) ask(entry int, prompt string) reply {
-	body := fmt.Sprintf(`{"model":"dossier","max_tokens":40,"prompt":%q}`, prompt)
+	return p.send(entry, fmt.Sprintf(`{"model":"dossier","max_tokens":40,"prompt":%q}`, prompt))
+}
+
+func (p *poisonFleet) send(entry int, body string) reply {
 	request, err := http.NewRequest(http.MethodPost, p.Entry(fmt.Sprintf("entry-%d", entry))+"/v1/completions", strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
@@ -207,3 +211,46 @@
 	proof.Add("operations", len(neighbours)+len(senders))
 	proof.Add("crashes", p.crashes())
 }
+
+// A teacher's request was running when its engine died of something else. Its
+// rerun is under way when the teacher's browser hangs up and asks again through
+// another entry: the resend must be answered, not refused as being tried still.
+// Cause: a claim of the one rerun whose holder is gone.
+func TestSuspectReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newPoisonFleet(g)
+		defer p.close()
+		const body = `{"model":"dossier","max_tokens":500,"prompt":"Is the list complete?"}`
+		ctx, hangUp := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() {
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.Entry("entry-0")+"/v1/completions", strings.NewReader(body))
+			g.Expect(err).NotTo(HaveOccurred())
+			request.Header.Set("Authorization", "Bearer schools-key")
+			response, err := p.client.Do(request)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+				response.Body.Close()
+			}
+			ended <- err
+		}()
+		time.Sleep(time.Second)
+		for _, engine := range p.engines {
+			if engine.Begun() > 0 {
+				engine.Crash()
+			}
+		}
+		time.Sleep(time.Second)
+		hangUp()
+		g.Expect(<-ended).To(HaveOccurred())
+		time.Sleep(500 * time.Millisecond)
+		got := p.send(1, body)
+		g.Expect(got.status).To(Equal(http.StatusOK), got.body)
+		begun := 0
+		for _, engine := range p.engines {
+			begun += int(engine.Begun())
+		}
+		g.Expect(begun).To(Equal(3), "the first run, its rerun and the resend")
+	})
+}
