Prove graceful stops and leaving targets; choose anew when all are tried

Cause: TestProofGracefulStop found requests refused with no-target and leaving in a rolling restart of two targets: the one that was back counted as leaving for 15 s, and a request that found its one target leaving had no other.

Ruled out: holding the request until a target is back (a refusal is final and immediate); asking the platform's list (it lags by more).

Change: the word of a leaving sidecar lapses after 4 s and is renewed by each of its replies; where evidence speaks against all targets, all that the list has are tried, since one that leaves refuses by itself; a request that has tried its candidates chooses anew, three targets in all.

--- a/internal/members/mtevidence/evidence.go
+++ b/internal/members/mtevidence/evidence.go
@@ -16,9 +16,9 @@
 // is used again although nobody said so. A target that is still gone costs one
 // refused try each time, which is repeated elsewhere.
 const (
-	// leavingFor outlasts a restart of a sidecar (a few seconds) and is renewed
-	// by each reply of one that still drains.
-	leavingFor = 15 * time.Second
+	// leavingFor is about a restart of a sidecar. Each reply of one that still
+	// drains renews it.
+	leavingFor = 4 * time.Second
 	// refusedFor is a process's restart: a refused dial costs a round trip, so a
 	// short time suffices.
 	refusedFor = 2 * time.Second
@@ -52,7 +52,9 @@
 }
 
 // Usable returns a service's targets that take work as far as is known, in
-// the order of their names. The caller must not change the slice.
+// the order of their names. Where direct evidence speaks against all of them,
+// it returns all that the list has: one may be back, and one that is leaving
+// refuses by itself. The caller must not change the slice.
 func (e *Evidence) Usable(service string) []*mustardtidev1.Member {
 	return e.view.Load().usable[service]
 }
--- a/internal/members/mtevidence/view.go
+++ b/internal/members/mtevidence/view.go
@@ -30,14 +30,22 @@
 			v.leaving[name] = true
 		}
 	}
+	shunned := map[string][]*mustardtidev1.Member{}
 	for _, m := range members {
+		if m.GetLeaving() || m.GetService() == "" {
+			continue
+		}
 		f := facts[m.GetName()]
 		if left := f.until.Sub(now); left > 0 && f.address == m.GetAddress() {
 			v.lapse = min(v.lapse, left)
+			shunned[m.GetService()] = append(shunned[m.GetService()], m)
 			continue
 		}
-		if !m.GetLeaving() && m.GetService() != "" {
-			v.usable[m.GetService()] = append(v.usable[m.GetService()], m)
+		v.usable[m.GetService()] = append(v.usable[m.GetService()], m)
+	}
+	for service, all := range shunned {
+		if len(v.usable[service]) == 0 {
+			v.usable[service] = all
 		}
 	}
 	return v
--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -23,10 +23,8 @@
 	out := newOutput(w, t)
 	refusal := mtrefusal.New(mtcode.NoTarget, t.service.GetName()).After(comeBack)
 	ran := mustardtidev1.Ran_NO
-	for i, member := range e.choose(ctx, t) {
-		if i == maxAttempts {
-			break
-		}
+	tried := map[string]bool{}
+	for member := e.next(ctx, t, tried); member != nil; member = e.next(ctx, t, tried) {
 		refusal = e.try(ctx, member, t, out)
 		if refusal == nil {
 			e.note(mtkind.RequestAnswered, t, member.GetName())
@@ -46,6 +44,32 @@
 	out.fail(refusal.Having(ran))
 }
 
+// next returns the best target that was not tried, or nil. Once the chosen ones
+// are used up it chooses anew: what they answered has changed what is known, as
+// when the one target that was not leaving now is.
+func (e *Entry) next(ctx context.Context, t *task, tried map[string]bool) *mustardtidev1.Member {
+	if len(tried) >= maxAttempts {
+		return nil
+	}
+	fresh := len(t.candidates) == 0
+	for {
+		if fresh {
+			t.candidates = e.choose(ctx, t)
+		}
+		for i, member := range t.candidates {
+			if !tried[member.GetName()] {
+				tried[member.GetName()] = true
+				t.candidates = t.candidates[i+1:]
+				return member
+			}
+		}
+		if fresh {
+			return nil
+		}
+		fresh = true
+	}
+}
+
 // try gives a task to one target. A target that says over a new connection that
 // the old one never brought it the task gets it once more: it is there, and it
 // was chosen for what it has cached.
--- a/internal/role/mtentry/serve.go
+++ b/internal/role/mtentry/serve.go
@@ -32,6 +32,8 @@
 
 // task is one caller's request on its way.
 type task struct {
+	// candidates are the chosen targets that were not tried yet.
+	candidates []*mustardtidev1.Member
 	work    *mustardtidev1.Work
 	call    *mustardtidev1.Call
 	service *mustardtidev1.Service
