--- a/internal/standin/mtfleet/start.go
+++ b/internal/standin/mtfleet/start.go
@@ -14,7 +14,7 @@
 func (f *Fleet) startSidecar(process *mustardtidev1.Process) error {
 	n := f.node(process.GetName())
 	f.place(n, process.GetInternal())
-	n.sidecar = mtsidecar.New(process, f.wire.Net(), n.log)
+	n.sidecar = mtsidecar.New(process, f.wire.NetOf(process.GetName()), n.log)
 	ctx, cancel := context.WithCancel(f.ctx)
 	n.cancel = cancel
 	server, err := n.sidecar.Open(ctx)
@@ -33,7 +33,7 @@
 	n := f.node(process.GetName())
 	f.place(n, process.GetInternal())
 	n.public = process.GetPublic()
-	n.entry = mtentry.New(process, f.wire.Net(), n.log)
+	n.entry = mtentry.New(process, f.wire.NetOf(process.GetName()), n.log)
 	ctx, cancel := context.WithCancel(f.ctx)
 	n.cancel = cancel
 	servers, err := n.entry.Open(ctx)
