--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -11,22 +11,16 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 )
 
-// Bounds of the choice: targets tried for one request, and when a caller that
-// found no target may come back.
-const (
-	maxAttempts = 3
-	comeBack    = 2 * time.Second
-)
+// comeBack is when a caller that found no target may come back.
+const comeBack = 2 * time.Second
 
 // answer finds a target for a task and passes its answer on.
 func (e *Entry) answer(ctx context.Context, w http.ResponseWriter, t *task) {
 	out := newOutput(w, t)
 	refusal := mtrefusal.New(mtcode.NoTarget, t.service.GetName())
 	ran := mustardtidev1.Ran_NO
-	for i, member := range e.choose(ctx, t) {
-		if i == maxAttempts {
-			break
-		}
+	tried := &tries{names: map[string]bool{}}
+	for member := e.next(ctx, t, tried, refusal); member != nil; member = e.next(ctx, t, tried, refusal) {
 		refusal = e.try(ctx, member, t, out)
 		if refusal == nil {
 			e.budgets.of(t.service.GetName()).Succeeded(t.service.GetRetry())
--- a/internal/role/mtentry/clients.go
+++ b/internal/role/mtentry/clients.go
@@ -46,7 +46,10 @@
 		return p
 	}
 	transport := c.net.Internal()
-	sidecar := mustardtidev1connect.NewSidecarServiceClient(&http.Client{Transport: transport}, c.net.Scheme()+"://"+address, connect.WithInterceptors(c.hear))
+	// Frames hold a few tokens each: compressing them costs the sidecar more
+	// time than all its other work on a request.
+	plain := connect.WithAcceptCompression("gzip", nil, nil)
+	sidecar := mustardtidev1connect.NewSidecarServiceClient(&http.Client{Transport: transport}, c.net.Scheme()+"://"+address, plain, connect.WithInterceptors(c.hear))
 	p := &pool{transport: transport, sidecar: sidecar, acks: newAcks(sidecar, c.peer, &c.tail)}
 	c.pools[address] = p
 	return p
