Settle claims of a slow home, and keep a failed claim at its target

The timeline of a lost request showed two causes: a shard's home and its asker give up at the same moment, and whichever was first decided whether the asker appended by itself or refused; and the entry carried a refused claim to another target, which found the late record of the first and could only say that the outcome is unknown. A batch's two seconds were too short where three writers meet at 300 ms a call. Ruled out: the drain (claiming runs were kept), the admission queue. Change: a home's refusal at its time-out counts as no answer; a failed claim is not carried to another target; a batch has four seconds.

--- a/internal/request/mtclaim/keeper.go
+++ b/internal/request/mtclaim/keeper.go
@@ -22,8 +22,10 @@
 	gap = 100 * time.Millisecond
 	// maxBatch claims of about 120 bytes stay under half an object.
 	maxBatch = 4000
-	// batchTimeout bounds one batch; the platform answers in milliseconds.
-	batchTimeout = 2 * time.Second
+	// batchTimeout bounds one batch. The platform answers in milliseconds; at
+	// a hundred times that, three writers of a shard that meet each other in
+	// every number still end within it.
+	batchTimeout = 4 * time.Second
 	// retryEvery is the mean time between two tries at a platform that fails;
 	// claims in between are refused at once.
 	retryEvery = time.Second
--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -74,6 +74,10 @@
 	switch {
 	case refusal.Final():
 		return false
+	// The claim may be kept all the same, for the target that asked for it:
+	// another one could only say that the outcome is unknown.
+	case refusal.Code() == mtcode.ClaimFailed:
+		return false
 	case refusal.Ran() == mustardtidev1.Ran_NO:
 		return out.rewind() == nil
 	default:
--- a/internal/role/mtsidecar/homes.go
+++ b/internal/role/mtsidecar/homes.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -23,8 +24,13 @@
 	// suspectFor is how long a home that did not answer is passed over; the
 	// list of instances catches up meanwhile.
 	suspectFor = 10 * time.Second
+	// homeMargin is a round trip between data centres with room to spare.
+	homeMargin = 50 * time.Millisecond
 )
 
+// errSlowHome is a home whose batch outlasted homeTimeout.
+var errSlowHome = errors.New("the shard's home took too long")
+
 // homes finds the home of a shard and asks it.
 type homes struct {
 	transport *http.Transport
@@ -57,6 +63,7 @@
 func (h *homes) ask(ctx context.Context, address string, ask *mustardtidev1.ClaimRequest) (*mustardtidev1.ClaimReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
 	defer cancel()
+	start := time.Now()
 	client := mustardtidev1connect.NewSidecarServiceClient(&http.Client{Transport: h.transport}, h.scheme+"://"+address)
 	reply, err := client.Claim(ctx, connect.NewRequest(ask))
 	if err != nil {
@@ -67,6 +74,11 @@
 		h.transport.CloseIdleConnections()
 		return nil, err
 	}
+	// The home gives up at the same moment as its asker. Which of the two is
+	// first must not decide whether the asker appends by itself.
+	if reply.Msg.GetRefusal() != nil && time.Since(start) > homeTimeout-homeMargin {
+		return nil, errSlowHome
+	}
 	return reply.Msg, nil
 }
 
