--- a/internal/role/mtentry/serve.go
+++ b/internal/role/mtentry/serve.go
@@ -58,14 +58,12 @@
 	}
 	e.note(mtkind.RequestAccepted, t, "")
 	if refusal := e.screen(t.work); refusal != nil {
-		e.note(mtkind.RequestRefused, t, refusal.Error())
-		mtcaller.Refuse(w, run, refusal)
+		e.turnAway(w, t, refusal)
 		return
 	}
 	leave, refusal := e.limit(t)
 	if refusal != nil {
-		e.note(mtkind.RequestRefused, t, refusal.Error())
-		mtcaller.Refuse(w, run, refusal)
+		e.turnAway(w, t, refusal)
 		return
 	}
 	defer leave()
@@ -74,6 +72,12 @@
 	e.answer(ctx, w, t)
 }
 
+// turnAway refuses a request before any target is chosen.
+func (e *Entry) turnAway(w http.ResponseWriter, t *task, refusal *mtrefusal.Refusal) {
+	e.note(mtkind.RequestRefused, t, refusal.Error())
+	mtcaller.Refuse(w, t.work.GetRun(), refusal)
+}
+
 // prepare undoes what the connection's last request has set, and asks the
 // caller to close the connection where the entry is leaving: one that is closed
 // while it is idle may be closed under a request on its way.
