--- a/internal/standin/mtfleet/fleet.go
+++ b/internal/standin/mtfleet/fleet.go
@@ -42,6 +42,7 @@
 	mu    sync.Mutex
 	next  int
 	nodes map[string]*node
+	peers []string
 	// addresses outlive their nodes.
 	addresses map[string]string
 	processes map[string]*mustardtidev1.Process
@@ -169,6 +170,7 @@
 		Platform:   "http://" + platformAddress,
 		Namespace:  namespace,
 		Lag:        durationpb.New(f.lag),
+		Peers:      f.seeds(),
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
