Choose a claim's home on a copy of the shared list

Cause: the list of members is shared by all of a process now; the choice of a claim's home filtered it in place, which moves and clears its members under every other reader. Seen as a data race in TestProofAtMostOnce/35, one run. Change: the choice filters a copy. Conclusion: only the list changes the list.

--- a/internal/role/mtsidecar/homes.go
+++ b/internal/role/mtsidecar/homes.go
@@ -44,7 +44,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	live := slices.DeleteFunc(members, func(m *mustardtidev1.Member) bool {
+	live := slices.DeleteFunc(slices.Clone(members), func(m *mustardtidev1.Member) bool {
 		return m.GetRole() != "sidecar" || m.GetLeaving() || now.Before(h.suspects[m.GetAddress()])
 	})
 	if len(live) == 0 {
