--- a/internal/role/mtentry/attempt.go
+++ b/internal/role/mtentry/attempt.go
@@ -78,7 +78,7 @@
 		if ctx.Err() != nil {
 			return a.stopped(ctx)
 		}
-		if losses > maxLosses || mtnet.Refused(lost) || connect.CodeOf(lost) == connect.CodeOutOfRange {
+		if losses > a.lossesAllowed(lost) || mtnet.Refused(lost) || connect.CodeOf(lost) == connect.CodeOutOfRange {
 			a.cancelLater()
 			return mtrefusal.New(a.lossCode(lost), trace.UserMessage(lost)).Having(a.ran())
 		}
@@ -95,6 +95,16 @@
 	return refusal
 }
 
+// lossesAllowed bounds the connections lost in a row. Two silent ones, the
+// second of them new, mean a sidecar that does not run: a task that can run
+// elsewhere need not wait for it.
+func (a *attempt) lossesAllowed(lost error) int {
+	if errors.Is(lost, errSilent) && repeatable(a.task) {
+		return 1
+	}
+	return maxLosses
+}
+
 func (a *attempt) run(ctx context.Context, sidecar mustardtidev1connect.SidecarServiceClient) (*connect.ServerStreamForClient[mustardtidev1.Frame], error) {
 	return sidecar.Run(ctx, connect.NewRequest(&mustardtidev1.RunRequest{Peer: a.entry.peer(), Work: a.task.work, Call: a.task.call}))
 }
