--- a/internal/admission/mtqueue/wait.go
+++ b/internal/admission/mtqueue/wait.go
@@ -1,7 +1,6 @@
 package mtqueue
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
@@ -44,7 +43,7 @@
 // The time of its own output counts only where it is learned: what a caller
 // allows at most says little.
 func (q *Queue) late(it *item, wait time.Duration) *mtrefusal.Refusal {
-	left := time.Until(it.due)
+	left := it.due.Sub(q.now)
 	own := it.need
 	if !it.known {
 		own.output = 0
@@ -53,7 +52,7 @@
 	if need+need/headroom <= left {
 		return nil
 	}
-	reason := fmt.Sprintf("wait of %v and run of %v, %v left", wait.Round(time.Millisecond), (need - wait).Round(time.Millisecond), left.Round(time.Millisecond))
+	reason := "expected " + need.Round(time.Millisecond).String() + ", left " + left.Round(time.Millisecond).String()
 	return mtrefusal.New(mtcode.DeadlineTooNear, reason).After(q.comeBack(min(need-left, wait)))
 }
 
@@ -81,9 +80,9 @@
 	parallel := q.rates.parallel(&q.limits)
 	slot := 0.0
 	if queued || float64(q.batch.count) >= parallel {
-		slot = q.batch.remaining() / parallel / parallel
+		slot = q.batch.remaining(q.now) / parallel / parallel
 	}
-	return max(q.batch.computingLeft(), slot)
+	return max(q.batch.computingLeft(q.now), slot)
 }
 
 // drain is how long the target takes for a sum, in seconds: prompts are
--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -17,27 +17,25 @@
 // answer finds a target for a task and passes its answer on.
 func (e *Entry) answer(ctx context.Context, w http.ResponseWriter, t *task) {
 	out := newOutput(w, t)
-	refusal := mtrefusal.New(mtcode.NoTarget, t.service.GetName()).After(comeBack)
+	refusal := mtrefusal.New(mtcode.NoTarget, t.service.GetName())
 	ran := mustardtidev1.Ran_NO
 	tried := &tries{names: map[string]bool{}}
 	for member := e.next(ctx, t, tried, refusal); member != nil; member = e.next(ctx, t, tried, refusal) {
 		refusal = e.try(ctx, member, t, out)
 		if refusal == nil {
+			e.budgets.of(t.service.GetName()).Succeeded(t.service.GetRetry())
 			e.note(mtkind.RequestAnswered, t, member.GetName())
 			return
 		}
 		ran = either(ran, refusal.Ran())
 		e.note(mtkind.AttemptRefused, t, refusal.Error())
 		e.suspect(t, refusal)
-		if ctx.Err() != nil || !again(t, out, refusal) {
+		if !e.retry(ctx, t, out, refusal) {
 			break
 		}
 	}
 	e.note(mtkind.RequestBroken, t, refusal.Error())
-	if refusal.Wait() == 0 && !refusal.Final() && broken(refusal.Code()) {
-		refusal = refusal.After(comeBack)
-	}
-	out.fail(refusal.Having(ran))
+	out.fail(advise(refusal).Having(ran))
 }
 
 // try gives a task to one target. A target that says over a new connection that
--- a/internal/role/mtentry/clients.go
+++ b/internal/role/mtentry/clients.go
@@ -16,6 +16,7 @@
 type clients struct {
 	net  *mtnet.Net
 	peer func() *mustardtidev1.Peer
+	hear connect.Interceptor
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -29,8 +30,8 @@
 	acks      *acks
 }
 
-func newClients(network *mtnet.Net, peer func() *mustardtidev1.Peer) *clients {
-	return &clients{net: network, peer: peer, pools: map[string]*pool{}}
+func newClients(network *mtnet.Net, peer func() *mustardtidev1.Peer, hear connect.Interceptor) *clients {
+	return &clients{net: network, peer: peer, hear: hear, pools: map[string]*pool{}}
 }
 
 // sidecar returns the client for an address.
@@ -48,7 +49,7 @@
 	// Frames hold a few tokens each: compressing them costs the sidecar more
 	// time than all its other work on a request.
 	plain := connect.WithAcceptCompression("gzip", nil, nil)
-	sidecar := mustardtidev1connect.NewSidecarServiceClient(&http.Client{Transport: transport}, c.net.Scheme()+"://"+address, plain)
+	sidecar := mustardtidev1connect.NewSidecarServiceClient(&http.Client{Transport: transport}, c.net.Scheme()+"://"+address, plain, connect.WithInterceptors(c.hear))
 	p := &pool{transport: transport, sidecar: sidecar, acks: newAcks(sidecar, c.peer, &c.tail)}
 	c.pools[address] = p
 	return p
--- a/internal/standin/mtfleet/fleet.go
+++ b/internal/standin/mtfleet/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -41,6 +42,7 @@
 	mu    sync.Mutex
 	next  int
 	nodes map[string]*node
+	peers []string
 	// addresses outlive their nodes.
 	addresses map[string]string
 	processes map[string]*mustardtidev1.Process
@@ -56,6 +58,7 @@
 	cancel   context.CancelFunc
 	servers  []*mtserver.Server
 	ends     []chan error
+	calls    atomic.Int64
 	drain    func(context.Context) error
 	wait     func() error
 	entry    *mtentry.Entry
@@ -167,6 +170,7 @@
 		Platform:   "http://" + platformAddress,
 		Namespace:  namespace,
 		Lag:        durationpb.New(f.lag),
+		Peers:      f.seeds(),
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
