--- a/internal/role/mtentry/answer.go
+++ b/internal/role/mtentry/answer.go
@@ -35,7 +35,7 @@
 		}
 	}
 	e.note(mtkind.RequestBroken, t, refusal.Error())
-	out.fail(advise(refusal).Having(ran))
+	out.fail(advise(refusal.Having(ran)))
 }
 
 // try gives a task to one target. A target that says over a new connection that
