--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 # What entry and sidecar add to a direct call, on loopback, in one run.
 overhead:
-	go test -run '^$$' -bench Overhead -benchtime 1x ./internal/lab/mtoverhead 2>/dev/null | grep -v '^INFO'
+	go test -run '^$$' -bench Overhead -benchtime 1x ./internal/lab/mtoverhead | grep -v '^INFO'
 
 # The whole path as separate processes on loopback.
 run-local: build
