--- a/internal/members/mtlist/list.go
+++ b/internal/members/mtlist/list.go
@@ -26,6 +26,7 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
+	steps   []step
 }
 
 // held is one state of the list. It is immutable.
@@ -44,9 +45,9 @@
 	return l
 }
 
-// All returns the members in the order of their names; the caller must not
-// change them.
-func (l *List) All() []*mustardtidev1.Member { return l.held.Load().sorted }
+// All returns the members in the order of their names. The slice is the
+// caller's own: callers filter it in place. The members must not be changed.
+func (l *List) All() []*mustardtidev1.Member { return slices.Clone(l.held.Load().sorted) }
 
 // Find returns the member of a name, or nil.
 func (l *List) Find(name string) *mustardtidev1.Member { return l.held.Load().byName[name] }
@@ -76,8 +77,7 @@
 
 // Take takes a peer's list that the platform confirmed age ago, if that is
 // later than this list's own confirmation: what a peer knew before can't bring
-// back an instance that is gone. Ages are compared, never two clocks. No
-// members mean that the peer has the same ones.
+// back an instance that is gone. Ages are compared, never two clocks.
 func (l *List) Take(members []*mustardtidev1.Member, age time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -86,10 +86,6 @@
 	if before.known && !at.After(before.at) {
 		return
 	}
-	if len(members) == 0 {
-		l.confirm(before, at)
-		return
-	}
 	l.publish(byName(members), at)
 }
 
@@ -129,6 +125,7 @@
 func (l *List) publish(members map[string]*mustardtidev1.Member, at time.Time) {
 	l.report(l.held.Load().byName, members)
 	next := build(members)
+	l.step(l.held.Load(), next)
 	next.known = true
 	next.at = at
 	l.held.Store(next)
--- a/internal/role/mtcontrol/pull.go
+++ b/internal/role/mtcontrol/pull.go
@@ -31,11 +31,17 @@
 	return connect.NewResponse(reply), nil
 }
 
-// members adds the list of instances where the asker's hash is another.
+// members adds what the asker's list of instances lacks, or the whole list
+// where the asker is too far behind.
 func (c *Control) members(has uint64, reply *mustardtidev1.PullReply) {
 	reply.Known = c.list.Known()
 	reply.Age = durationpb.New(c.list.Age())
-	if has != c.list.Hash() {
+	changed, gone, ok := c.list.Since(has)
+	if !ok {
 		reply.Members = c.list.All()
+		return
 	}
+	reply.Partial = true
+	reply.Members = changed
+	reply.Gone = gone
 }
--- a/internal/role/mtsync/restart_test.go
+++ b/internal/role/mtsync/restart_test.go
@@ -99,6 +99,33 @@
 	}
 }
 
+// Story: all entries restart together while the platform is well, as in a
+// rollout. Each would read the platform's whole list of instances at once, a
+// megabyte at 3,120 instances, and use up its calls for everybody; peers have
+// the list, so that it is read later, at each entry's turn.
+func TestHerdSparesThePlatform(t *testing.T) {
+	const entries, sidecars = 20, 4
+	withWorld(t, entries, sidecars, func(w *world) {
+		w.SetPeers(w.Address("forms-0"), w.Address("forms-1"), w.Address("forms-2"), w.Address("forms-3"))
+		for _, name := range names(entries, 0) {
+			w.Expect(w.Kill(name)).To(Succeed())
+		}
+		faults := w.Platform().Faults()
+		reads, watches := faults.Reads(), faults.Watches()
+		for _, name := range names(entries, 0) {
+			w.Expect(w.AddEntry(name, "imanta")).To(Succeed())
+		}
+		for _, name := range names(entries, 0) {
+			w.Expect(w.ready(name)).To(BeNumerically("<", atOnce))
+		}
+		atStart := faults.Reads() - reads + faults.Watches() - watches
+		time.Sleep(10 * time.Second)
+		t.Logf("%d entries: %d calls at the start, %d within 10 s", entries, atStart, faults.Reads()-reads+faults.Watches()-watches)
+		// The manifest, and the list and watch of suspicions (mtsuspicion).
+		w.Expect(atStart).To(BeNumerically("<=", 3*entries))
+	})
+}
+
 // Story: two sidecars run for a while without an entry and know only each
 // other. They
 // answer each other, so that neither turns to the platform, and both stay on
--- a/internal/role/mtsync/start.go
+++ b/internal/role/mtsync/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -17,14 +18,20 @@
 	startPeers = 8
 	startWait  = 500 * time.Millisecond
 	startAgain = 500 * time.Millisecond
+	// startSpread spreads what an entry that peers have served can do later:
+	// reading the list of instances, about a megabyte, and opening watches.
+	// 420 entries that restart together make 420 calls a second for it.
+	startSpread = 4 * time.Second
 )
 
 // start repeats a round until settings and a list of instances are there. No
 // word of a single peer is followed before: it may be behind what this process
 // served before its restart.
 func (s *Sync) start(ctx context.Context, round func(context.Context)) {
+	var once sync.Once
 	for {
 		round(ctx)
+		once.Do(func() { close(s.begun) })
 		if s.spread.Snapshot().Revision() > 0 && s.list.Known() {
 			return
 		}
@@ -76,6 +83,22 @@
 	_ = s.take(ctx, best, holders...)
 }
 
+// awaitTurn waits for the first round of the start and, where peers gave all
+// that it takes to serve, for a turn among a herd that restarts.
+func (s *Sync) awaitTurn(ctx context.Context) {
+	select {
+	case <-s.begun:
+	case <-ctx.Done():
+		return
+	}
+	if s.spread.Snapshot().Revision() > 0 && s.list.Known() {
+		select {
+		case <-time.After(rand.N(startSpread)):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // seeds are the peers of the process's settings and some of the list.
 func (s *Sync) seeds() []string {
 	seeds := slices.Clone(s.process.GetPeers())
--- a/internal/role/mtsync/sync.go
+++ b/internal/role/mtsync/sync.go
@@ -52,7 +52,9 @@
 	// fetching has room for the one fetch under way; partial keeps the chunks
 	// of one that was not completed.
 	fetching chan struct{}
-	partial  map[string][]byte
+	// begun closes after the first round of the start.
+	begun   chan struct{}
+	partial map[string][]byte
 }
 
 // New returns a Sync for the process that the control service speaks for.
@@ -62,6 +64,7 @@
 		process:   process,
 		outside:   outside,
 		fetching:  make(chan struct{}, 1),
+		begun:     make(chan struct{}),
 		scheme:    network.Scheme(),
 		transport: network.Internal(),
 		log:       log,
@@ -75,7 +78,10 @@
 // Entry follows as an entry does until ctx ends: it watches the platform. The
 // channel it returns gives its end.
 func (s *Sync) Entry(ctx context.Context) <-chan error {
-	return s.run(ctx, s.startEntry, s.watch, func(ctx context.Context) error { return <-s.list.Follow(ctx, s.platform) })
+	return s.run(ctx, s.startEntry, s.watch, func(ctx context.Context) error {
+		s.awaitTurn(ctx)
+		return <-s.list.Follow(ctx, s.platform)
+	})
 }
 
 // Sidecar follows as a sidecar does until ctx ends: from peers, and from the
@@ -120,12 +126,17 @@
 
 // ask takes a peer's list of instances and returns its manifest, if higher.
 func (s *Sync) ask(ctx context.Context, address string) (*mustardtidev1.Manifest, error) {
-	reply, err := s.call(ctx, address, &mustardtidev1.PullRequest{List: s.list.Hash()})
+	hash := s.list.Hash()
+	reply, err := s.call(ctx, address, &mustardtidev1.PullRequest{List: hash})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if reply.GetKnown() {
-		s.list.Take(reply.GetMembers(), reply.GetAge().AsDuration())
+	switch age := reply.GetAge().AsDuration(); {
+	case !reply.GetKnown():
+	case reply.GetPartial():
+		s.list.Patch(hash, reply.GetMembers(), reply.GetGone(), age)
+	default:
+		s.list.Take(reply.GetMembers(), age)
 	}
 	return reply.GetManifest(), nil
 }
--- a/internal/role/mtsync/watch.go
+++ b/internal/role/mtsync/watch.go
@@ -33,6 +33,7 @@
 
 // watch follows the platform's manifest until ctx ends.
 func (s *Sync) watch(ctx context.Context) error {
+	s.awaitTurn(ctx)
 	for ctx.Err() == nil {
 		err := s.watchUntilLost(ctx)
 		if ctx.Err() == nil {
