--- a/internal/standin/mtengine/engine.go
+++ b/internal/standin/mtengine/engine.go
@@ -73,6 +73,13 @@
 // Computed counts the prompt tokens that were not in the cache.
 func (e *Engine) Computed() int64 { return e.computed.Load() }
 
+// Cached is the leading tokens of a prompt that the cache holds under a salt.
+func (e *Engine) Cached(salt string, prompt []byte) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.Peek(hashes(salt, prompt)) * blockTokens
+}
+
 func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
 	fmt.Fprintf(w, "process_start_time_seconds %.9f\n", float64(e.started.UnixNano())/float64(time.Second))
 	fmt.Fprintf(w, "vllm:num_requests_running %d\n", e.running.Load())
