--- a/internal/role/mtcontrol/control.go
+++ b/internal/role/mtcontrol/control.go
@@ -20,6 +20,7 @@
 	list   *mtlist.List
 	status func() *mustardtidev1.StatusReply
 	drain  func() uint32
+	bans   func() [][]byte
 }
 
 // New returns the control service of one process. status describes it; drain
@@ -28,34 +29,20 @@
 	return &Control{log: log, spread: spread, list: list, status: status, drain: drain}
 }
 
+// Carry adds to every message what this process has quarantined of late.
+func (c *Control) Carry(bans func() [][]byte) { c.bans = bans }
+
 // Peer is what every message of this process carries.
 func (c *Control) Peer() *mustardtidev1.Peer {
-	return &mustardtidev1.Peer{
+	peer := &mustardtidev1.Peer{
 		Stamp:    c.log.Clock().Now(),
 		Revision: c.spread.Snapshot().Revision(),
 		Source:   c.log.Source(),
 	}
-}
-
-// Pull gives the settings in force and the last known list of instances.
-func (c *Control) Pull(_ context.Context, ask *connect.Request[mustardtidev1.PullRequest]) (*connect.Response[mustardtidev1.PullReply], error) {
-	c.log.Clock().See(ask.Msg.GetPeer().GetStamp())
-	reply := &mustardtidev1.PullReply{Peer: c.Peer(), Members: c.list.All()}
-	manifest := c.spread.Manifest()
-	if manifest.Revision() <= ask.Msg.GetPeer().GetRevision() {
-		return connect.NewResponse(reply), nil
+	if c.bans != nil {
+		peer.Bans = c.bans()
 	}
-	reply.Manifest = manifest.Head()
-	have := map[string]bool{}
-	for _, digest := range ask.Msg.GetHave() {
-		have[digest] = true
-	}
-	for _, file := range manifest.Head().GetFiles() {
-		if !have[file.GetDigest()] {
-			reply.Chunks = append(reply.Chunks, &mustardtidev1.Chunk{Digest: file.GetDigest(), Text: manifest.Chunk(file.GetDigest())})
-		}
-	}
-	return connect.NewResponse(reply), nil
+	return peer
 }
 
 // Status describes the process.
--- a/internal/standin/mtengine/engine.go
+++ b/internal/standin/mtengine/engine.go
@@ -28,9 +28,8 @@
 	slots   chan struct{}
 	prefill float64
 	decode  time.Duration
-	started time.Time
 
-	prefilling sync.Mutex
+	prefilling chan struct{} // a mutex held in a sleep would stop a paused clock
 	mu         sync.Mutex
 	cache      *mtblocks.Cache
 	events     events
@@ -39,6 +38,10 @@
 	waiting  atomic.Int64
 	begun    atomic.Int64
 	computed atomic.Int64
+	crashes  atomic.Int64
+	marker   atomic.Pointer[string]
+	life     atomic.Pointer[life]
+	blocks   int
 	mux      *http.ServeMux
 }
 
@@ -46,13 +49,15 @@
 // second, a time between tokens and a cache of so many blocks.
 func New(slots int, prefill float64, decode time.Duration, blocks int) *Engine {
 	e := &Engine{
-		slots:   make(chan struct{}, slots),
-		prefill: prefill,
-		decode:  decode,
-		started: time.Now(),
-		cache:   mtblocks.New(blocks),
-		mux:     http.NewServeMux(),
+		slots:      make(chan struct{}, slots),
+		prefill:    prefill,
+		decode:     decode,
+		prefilling: make(chan struct{}, 1),
+		cache:      mtblocks.New(blocks),
+		blocks:     blocks,
+		mux:        http.NewServeMux(),
 	}
+	e.life.Store(newLife(time.Now()))
 	e.events.wake = make(chan struct{})
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
@@ -62,11 +67,6 @@
 	return e
 }
 
-// ServeHTTP answers one call.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.mux.ServeHTTP(w, r)
-}
-
 // Begun counts the requests that this engine began to run.
 func (e *Engine) Begun() int64 { return e.begun.Load() }
 
@@ -81,7 +81,7 @@
 }
 
 func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
-	fmt.Fprintf(w, "process_start_time_seconds %.9f\n", float64(e.started.UnixNano())/float64(time.Second))
+	fmt.Fprintf(w, "process_start_time_seconds %.9f\n", float64(e.life.Load().start.UnixNano())/float64(time.Second))
 	fmt.Fprintf(w, "vllm:num_requests_running %d\n", e.running.Load())
 	fmt.Fprintf(w, "vllm:num_requests_waiting %d\n", e.waiting.Load())
 }
@@ -103,6 +103,10 @@
 	if err != nil {
 		return
 	}
+	if e.poisoned(prompt) {
+		e.Crash()
+		return
+	}
 	a := answer{engine: e, ask: &ask, id: r.Header.Get("X-Request-Id"), prompt: len(prompt) / tokenBytes, cached: cached}
 	if ask.Stream {
 		a.stream(w, r)
@@ -132,8 +136,12 @@
 // fill computes what of the prompt is not cached and returns the cached tokens.
 func (e *Engine) fill(r *http.Request, salt string, prompt []byte) (int, error) {
 	blocks := hashes(salt, prompt)
-	e.prefilling.Lock()
-	defer e.prefilling.Unlock()
+	select {
+	case e.prefilling <- struct{}{}:
+	case <-r.Context().Done():
+		return 0, r.Context().Err()
+	}
+	defer func() { <-e.prefilling }()
 	e.mu.Lock()
 	matched := e.cache.Match(blocks)
 	e.mu.Unlock()
