--- a/internal/lab/mtlab/chooser.go
+++ b/internal/lab/mtlab/chooser.go
@@ -188,7 +188,7 @@
 	for _, t := range e.lab.targets {
 		uncached := r.Work().GetPrompt() - t.Promised(r.Chain())
 		rate := t.Rate()
-		all = append(all, priced{t, mtscore.Of(t.Wait(), uncached, rate, 2*e.trip(t), 1)})
+		all = append(all, priced{t, mtscore.Of(t.Wait(r.Left(e.lab.loop.Now()), r.Chain()), uncached, rate, 2*e.trip(t), 1)})
 	}
 	slices.SortStableFunc(all, func(a, b priced) int { return int(a.score - b.score) })
 	var order []*mtfake.Target
--- a/internal/lab/mtlab/lab.go
+++ b/internal/lab/mtlab/lab.go
@@ -123,9 +123,10 @@
 
 // arrive hands the request to the sidecar, whose first frame goes back.
 func (a *attemptOf) arrive(t *mtfake.Target) {
-	a.wait = t.Wait()
+	work := a.request.Left(a.entry.lab.loop.Now())
+	a.wait = t.Wait(work, a.request.Chain())
 	a.uncached = a.request.Work().GetPrompt() - t.Promised(a.request.Chain())
-	t.Run(a.request, a)
+	t.Run(a.request, work, a)
 	state := t.State()
 	a.back(func() { a.entry.heard(state) })
 }
--- a/internal/lab/mtlab/placed.go
+++ b/internal/lab/mtlab/placed.go
@@ -21,10 +21,13 @@
 	for i := range choice.Len() {
 		t := e.find(choice.Target(i).Name())
 		e.lab.loop.After(e.trip(t), func() {
-			matched, state := t.Promised(r.Chain()), t.State()
+			reply := t.Offer(r.Left(e.lab.loop.Now()), r.Chain())
 			e.lab.loop.After(e.trip(t), func() {
-				c.place.Heard(state)
-				choice.Offered(i, matched, state.GetWait().AsDuration())
+				c.place.Heard(reply.GetState())
+				choice.Offered(i, reply.GetMatched(), reply.GetState().GetWait().AsDuration())
+				if reply.GetRefusal() != nil {
+					choice.Refuse(i)
+				}
 				if left--; left == 0 {
 					c.place.Rank(choice)
 					then(e.ordered(c, choice))
--- a/internal/lab/mtrequest/request.go
+++ b/internal/lab/mtrequest/request.go
@@ -6,6 +6,9 @@
 	"encoding/binary"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
 )
@@ -66,6 +69,13 @@
 // Work is what placement and admission know of the request.
 func (r *Request) Work() *mustardtidev1.Work { return r.work }
 
+// Left is the work with the time left at a time since the start.
+func (r *Request) Left(now time.Duration) *mustardtidev1.Work {
+	left := proto.CloneOf(r.work)
+	left.Left = durationpb.New(r.at + r.work.GetLeft().AsDuration() - now)
+	return left
+}
+
 // Chain is the prompt's prefix chain.
 func (r *Request) Chain() mtchain.Chain { return r.chain }
 
--- a/internal/prefix/mtview/plan.go
+++ b/internal/prefix/mtview/plan.go
@@ -35,6 +35,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	generation := v.generation
+	if !v.open {
+		return func() bool { return false }
+	}
 	for i := range chain.Len() {
 		mark := chain.At(i)
 		p := v.planned[mark]
@@ -85,7 +88,7 @@
 func (v *View) Learn(incarnation string, chain mtchain.Chain) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if incarnation != v.incarnation {
+	if incarnation != v.incarnation || !v.open {
 		return
 	}
 	if len(v.learned) >= maxLearned {
--- a/internal/prefix/mtview/view.go
+++ b/internal/prefix/mtview/view.go
@@ -18,6 +18,7 @@
 	learned     map[[mtchain.MarkSize]byte]time.Time
 	generation  uint64
 	strikes     int
+	open        bool
 }
 
 // New returns an empty view of no incarnation.
@@ -39,10 +40,29 @@
 		return false
 	}
 	v.incarnation = incarnation
+	v.open = false
 	v.empty()
 	return true
 }
 
+// Open notes that the target's events are read now: from here on an end of the
+// target shows as an end of the events. It is false for another incarnation.
+func (v *View) Open(incarnation string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.open = incarnation == v.incarnation
+	return v.open
+}
+
+// Close empties the view until it is opened again: the target may have died
+// and be back with an empty cache before anyone asks for its incarnation.
+func (v *View) Close() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.open = false
+	v.empty()
+}
+
 // Incarnation is the one that the view speaks of; empty before the first.
 func (v *View) Incarnation() string {
 	v.mu.RLock()
@@ -50,8 +70,8 @@
 	return v.incarnation
 }
 
-// Void empties the view after a gap in the events, or when they broke off: what
-// was removed meanwhile is not known.
+// Void empties the view after a gap in the events: what was removed meanwhile is
+// not known.
 func (v *View) Void() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -71,7 +91,7 @@
 func (v *View) Store(incarnation string, mark [mtchain.MarkSize]byte) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if incarnation == v.incarnation {
+	if incarnation == v.incarnation && v.open {
 		v.marks[mark] = struct{}{}
 	}
 }
--- a/internal/role/mtsidecar/watch.go
+++ b/internal/role/mtsidecar/watch.go
@@ -120,7 +120,7 @@
 	reader := &cacheReader{sidecar: s, engine: engine, incarnation: s.view.Incarnation()}
 	// The end is reported by the probe as well, which knows its cause.
 	_ = engine.Follow(ctx, int(service.GetGranule()), int(service.GetStride()), reader)
-	s.view.Void()
+	s.view.Close()
 }
 
 // cacheReader passes one stream's events to the view.
@@ -144,6 +144,8 @@
 	}
 	if now != r.incarnation {
 		r.sidecar.incarnate(now)
+	}
+	if now != r.incarnation || !r.sidecar.view.Open(now) {
 		return trace.CompareFailed("the engine restarted while its cache events were opened")
 	}
 	return nil
