--- a/internal/admission/mtqueue/ticket.go
+++ b/internal/admission/mtqueue/ticket.go
@@ -7,11 +7,12 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
 )
 
-// ticketTime is how long a reservation holds: an entry waits at most 100
-// milliseconds for its offers, and its request comes within one way after. The
-// reservations of offers that lost count until they lapse, so that a longer
-// time would promise waits that nobody causes.
-const ticketTime = 150 * time.Millisecond
+// ticketTime is how long a reservation holds: five round trips between data
+// centres. An entry offers a request to several targets and runs it on one, so
+// that most reservations are never used: held for half a second they made
+// waits look long, prefixes widened and were computed anew (make measure,
+// nested/riga: p99 540 ms against 84 ms).
+const ticketTime = 10 * time.Millisecond
 
 // keptTickets bounds the reservations: a target at its share of the peak, 25,000
 // requests a second over 2,700 targets, gets about 10 requests a second, each
--- a/internal/lab/mtfake/target.go
+++ b/internal/lab/mtfake/target.go
@@ -128,6 +128,7 @@
 		Wait:        durationpb.New(t.queue.Wait(&mustardtidev1.Work{Class: mustardtidev1.Class_SHORT}, 0)),
 		Running:     uint32(t.queue.Running()),
 		Queued:      uint32(t.queue.Queued()),
+		Backlog:     t.queue.Backlog(),
 		Prefill:     t.queue.Prefill(),
 	}
 }
@@ -207,14 +208,12 @@
 	t.busy = false
 	t.store(blocks, j.request.Chain())
 	j.plan()
+	// The end of the prefill gives the first token.
+	t.queue.First(j.work.GetRun(), j.work.GetAttempt())
+	j.answer.First(cached)
 	step := time.Duration(float64(t.decode) * t.speed(t.number, t.loop.Now()))
-	t.loop.After(step, func() {
-		t.queue.First(j.work.GetRun(), j.work.GetAttempt())
-		t.step()
-		j.answer.First(cached)
-	})
-	t.loop.After(step*time.Duration(j.work.GetOutput()), func() { t.end(j, cached) })
-	t.compute()
+	t.loop.After(step*time.Duration(j.work.GetOutput()-1), func() { t.end(j, cached) })
+	t.step()
 }
 
 // store caches a prompt and tells the view, late.
--- a/internal/lab/mtlab/chooser.go
+++ b/internal/lab/mtlab/chooser.go
@@ -9,6 +9,7 @@
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/internal/lab/mtfake"
 	"github.com/mustardtide/mustardtide/internal/lab/mtrequest"
+	"github.com/mustardtide/mustardtide/internal/placement/mtchoice"
 	"github.com/mustardtide/mustardtide/internal/placement/mthomes"
 	"github.com/mustardtide/mustardtide/internal/placement/mtplace"
 	"github.com/mustardtide/mustardtide/internal/placement/mtscore"
@@ -96,10 +97,11 @@
 }
 
 // choose calls then with the targets in the order to try them.
-func (e *entry) choose(r *mtrequest.Request, then func([]*mtfake.Target)) {
+func (e *entry) choose(r *mtrequest.Request, run func([]*mtfake.Target, *mtchoice.Choice)) {
+	then := func(order []*mtfake.Target) { run(order, nil) }
 	switch c := e.chooser.(type) {
 	case *placed:
-		e.place(c, r, then)
+		e.place(c, r, run)
 	case *sampled:
 		then(shuffled(c.random, e.lab.targets))
 	case *rotated:
--- a/internal/lab/mtlab/lab.go
+++ b/internal/lab/mtlab/lab.go
@@ -14,6 +14,7 @@
 	"github.com/mustardtide/mustardtide/internal/lab/mtrequest"
 	"github.com/mustardtide/mustardtide/internal/lab/mtresult"
 	"github.com/mustardtide/mustardtide/internal/lab/mtsize"
+	"github.com/mustardtide/mustardtide/internal/placement/mtchoice"
 )
 
 // attempts is the number of targets tried for a request, as at a real entry.
@@ -70,7 +71,12 @@
 		l.loop.After(r.At()+l.size.Caller(), func() { e.arrive(r) })
 	}
 	l.loop.Run()
-	return mtresult.New(l.pattern.Name()+"/"+l.size.Name(), policy, l.requests, l.pattern.Warm())
+	return l.Judge(policy, l.pattern.Warm())
+}
+
+// Judge gives the result for what arrived from a time on.
+func (l *Lab) Judge(policy string, from time.Duration) *mtresult.Result {
+	return mtresult.New(l.pattern.Name()+"/"+l.size.Name(), policy, l.requests, from)
 }
 
 // wasted counts the blocks that a target computes though another has them.
@@ -94,17 +100,17 @@
 func (e *entry) trip(t *mtfake.Target) time.Duration { return e.lab.size.Trip(e.site, t.Site()) }
 
 func (e *entry) arrive(r *mtrequest.Request) {
-	e.choose(r, func(order []*mtfake.Target) { e.try(r, order, 0) })
+	e.choose(r, func(order []*mtfake.Target, choice *mtchoice.Choice) { e.try(r, order, choice, 0) })
 }
 
 // try sends a request to its next target.
-func (e *entry) try(r *mtrequest.Request, order []*mtfake.Target, attempt int) {
+func (e *entry) try(r *mtrequest.Request, order []*mtfake.Target, choice *mtchoice.Choice, attempt int) {
 	if attempt == min(attempts, len(order)) {
 		r.Refuse(e.lab.loop.Now() + e.lab.size.Caller())
 		return
 	}
 	t := order[attempt]
-	a := &attemptOf{entry: e, request: r, order: order, number: attempt, sent: e.lab.loop.Now()}
+	a := &attemptOf{entry: e, request: r, order: order, choice: choice, number: attempt, sent: e.lab.loop.Now()}
 	e.lab.loop.After(e.trip(t), func() { a.arrive(t) })
 }
 
@@ -115,7 +121,7 @@
 	order    []*mtfake.Target
 	number   int
 	sent     time.Duration
-	wait     time.Duration
+	choice   *mtchoice.Choice
 	uncached uint64
 }
 
@@ -124,7 +130,6 @@
 // arrive hands the request to the sidecar, whose first frame goes back.
 func (a *attemptOf) arrive(t *mtfake.Target) {
 	work := a.request.Left(a.entry.lab.loop.Now())
-	a.wait = t.Wait(work, a.request.Chain())
 	a.uncached = a.request.Work().GetPrompt() - t.Promised(a.request.Chain())
 	t.Run(a.request, work, a)
 	state := t.State()
@@ -152,5 +157,5 @@
 
 // Refuse is the target's refusal.
 func (a *attemptOf) Refuse() {
-	a.back(func() { a.entry.try(a.request, a.order, a.number+1) })
+	a.back(func() { a.entry.try(a.request, a.order, a.choice, a.number+1) })
 }
--- a/internal/lab/mtlab/measure_test.go
+++ b/internal/lab/mtlab/measure_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -68,3 +69,15 @@
 func patterns() []string {
 	return []string{"burst", "hotcaller", "hotkey", "slow", "mixed", "overload", "shift", "nested"}
 }
+
+// runFrom judges only what arrives from a time on.
+func runFrom(t *testing.T, pattern *mtpattern.Pattern, from time.Duration) *mtresult.Result {
+	var result *mtresult.Result
+	synctest.Test(t, func(t *testing.T) {
+		lab, err := mtlab.New(fleet(t, "small"), pattern, "mustardtide")
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		lab.Run("mustardtide")
+		result = lab.Judge("mustardtide", from)
+	})
+	return result
+}
--- a/internal/lab/mtlab/placed.go
+++ b/internal/lab/mtlab/placed.go
@@ -11,10 +11,10 @@
 
 // place chooses as the real entry does: candidates, offers where the entry's
 // knowledge is not fresh, an order.
-func (e *entry) place(c *placed, r *mtrequest.Request, then func([]*mtfake.Target)) {
+func (e *entry) place(c *placed, r *mtrequest.Request, then func([]*mtfake.Target, *mtchoice.Choice)) {
 	choice := c.place.Choose(r.Chain(), r.Work().GetPrompt())
 	if choice.Fresh() {
-		then(e.ordered(c, choice))
+		then(e.ordered(c, choice), choice)
 		return
 	}
 	left := choice.Len()
@@ -30,7 +30,7 @@
 				}
 				if left--; left == 0 {
 					c.place.Rank(choice)
-					then(e.ordered(c, choice))
+					then(e.ordered(c, choice), choice)
 				}
 			})
 		})
@@ -70,5 +70,5 @@
 	}
 	name := a.target().Name()
 	c.place.Missed(a.request.Chain(), name, cached)
-	c.place.First(name, took, a.wait, a.uncached)
+	c.place.First(a.choice, name, took, a.uncached)
 }
--- a/internal/placement/mtdemote/demote.go
+++ b/internal/placement/mtdemote/demote.go
@@ -5,9 +5,7 @@
 // it a full share and every request that lands there shapes the tail.
 //
 // A target's slowness is its time to the first token over the time that its
-// queue and the prompt made expect. The average is sensitive to peaks: a late
-// answer counts in full at once and wears off, so that two or three requests
-// find a slow target. Only targets far from the fleet's median are demoted and
+// queue and the prompt made expect at the fleet's rate. Only targets far from the fleet's median are demoted and
 // never more than a share of the fleet, since a whole fleet that is slow is
 // overload. A demoted target keeps getting a trickle, which finds its recovery.
 package mtdemote
@@ -21,11 +19,12 @@
 )
 
 const (
-	// halfLife is the time in which a peak wears off by half: a trickle of probes
-	// gives four answers to outweigh it.
-	halfLife = 20 * time.Second
-	// gain is the share of an answer that is faster than the average.
-	gain = 0.3
+	// halfLife is the time in which an average wears off by half without answers:
+	// long enough for two probes.
+	halfLife = time.Minute
+	// gain is the share of one answer: a target at a fifth of its speed is found
+	// after four, and one late answer among sound ones does not demote.
+	gain = 0.2
 	// reviewEvery bounds the sorting of the fleet, 0.2 ms at 2,700 targets.
 	reviewEvery = time.Second
 	// behind is how far from the median a target is demoted. Batches and
@@ -33,11 +32,13 @@
 	behind = 2
 	// most is the largest share of the fleet that is demoted.
 	most = 0.25
-	// trickle is the time between probes of a demoted target: at two requests a
-	// second and target a tenth of a share, too few to shape the 99th percentile.
-	trickle = 5 * time.Second
-	// ceiling bounds one answer's weight, so that a target is back in a minute.
-	ceiling = 20
+	// trickle is the time between an entry's probes of a demoted target: from
+	// three entries 0.1 a second, too few to shape the 99th percentile of the 9
+	// requests a second of the smallest fleet.
+	trickle = 30 * time.Second
+	// ceiling bounds one answer's weight: below the answer that alone would
+	// demote a target, 1 + behind / gain.
+	ceiling = 6
 	// slowStart is the time in which a target that started anew grows from
 	// coldFactor to its full share: its caches are empty and its first prompts
 	// all compute.
@@ -107,14 +108,11 @@
 	}
 }
 
-// observe moves the average up at once and down by its gain. Two racing
-// observations may lose one: it is an average.
+// observe moves the average. Two racing observations may lose one: it is an
+// average.
 func (p *pace) observe(now time.Time, ratio float64) {
 	average := p.now(now)
-	if ratio < average {
-		ratio = average + (ratio-average)*gain
-	}
-	p.average.Store(math.Float64bits(ratio))
+	p.average.Store(math.Float64bits(average + (ratio-average)*gain))
 	p.seen.Store(now.UnixNano())
 }
 
--- a/internal/placement/mtplace/choose.go
+++ b/internal/placement/mtplace/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/mustardtide/mustardtide/internal/placement/mtchoice"
 	"github.com/mustardtide/mustardtide/internal/placement/mtscore"
+	"github.com/mustardtide/mustardtide/internal/placement/mttarget"
 	"github.com/mustardtide/mustardtide/internal/placement/mtwiden"
 	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
 )
@@ -179,7 +180,7 @@
 		return false
 	}
 	best := c.Target(0)
-	return holder(c, 0) && best.Age() < freshWord && best.Wait() < idle
+	return holder(c, 0) && !p.demote.Demoted(best.ID()) && best.Age() < freshWord && best.Wait() < idle
 }
 
 // holder says that a candidate has cached enough of the prompt.
@@ -201,27 +202,35 @@
 // Rank puts the candidates in the order to try them, after the offers.
 //
 // Where no target holds the prefix, the best of all gets it. Where some do,
-// the others wait for their turn until the prefix widens.
+// the others wait for their turn until the prefix widens. A target far behind
+// its fleet is no holder but for a trickle: its prefixes move on, each computed
+// once, or all who ask for them come late as long as it stays slow.
 func (p *Place) Rank(c *mtchoice.Choice) {
 	p.price(c)
 	best, spare := -1, -1
+	first := make(map[*mttarget.Target]bool, c.Len())
 	for i := range c.Len() {
+		shunned := p.shunned(c, i)
 		switch {
 		case c.Refused(i):
-		case holder(c, i):
+		case holder(c, i) && !shunned:
 			best = cheaper(c, best, i)
-		case c.Neighbour(i):
+			first[c.Target(i)] = true
+		case c.Neighbour(i), shunned:
 		default:
 			spare = cheaper(c, spare, i)
 		}
 	}
-	if best < 0 || spare < 0 {
-		c.Sort(func(i int) bool { return holder(c, i) || !c.Neighbour(i) })
-		return
+	if spare >= 0 && (best < 0 || p.widens(c, best, spare)) {
+		first[c.Target(spare)] = true
 	}
-	widened := p.widens(c, best, spare)
-	chosen := c.Target(spare)
-	c.Sort(func(i int) bool { return holder(c, i) || widened && c.Target(i) == chosen })
+	c.Sort(func(i int) bool { return first[c.Target(i)] })
+}
+
+// shunned says that a target is demoted and that this is not its trial.
+func (p *Place) shunned(c *mtchoice.Choice, i int) bool {
+	id := c.Target(i).ID()
+	return p.demote.Demoted(id) && !(holder(c, i) && p.demote.Probe(id))
 }
 
 func cheaper(c *mtchoice.Choice, best, i int) int {
@@ -233,6 +242,9 @@
 
 // widens reports whether the prefix gets one more home for this request.
 func (p *Place) widens(c *mtchoice.Choice, best, spare int) bool {
+	if c.Depth() == 0 {
+		return false
+	}
 	mark := c.Chain().At(c.Depth() - 1)
 	before := p.widen.Width(mark)
 	after := p.widen.Waited(mark, time.Duration(c.Score(best)), time.Duration(c.Score(spare)))
--- a/internal/placement/mtplace/learn.go
+++ b/internal/placement/mtplace/learn.go
@@ -1,6 +1,7 @@
 package mtplace
 
 import (
+	"math"
 	"time"
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
@@ -18,7 +19,11 @@
 	if t.Restarted(state.GetIncarnation()) {
 		p.demote.Start(t.ID())
 	}
-	t.Say(state.GetWait().AsDuration(), state.GetPrefill(), state.GetLeaving())
+	// The wait is that of an account that has nothing waiting; one that has
+	// waits for its own backlog as well.
+	wait := max(state.GetWait().AsDuration(), mtscore.Compute(state.GetBacklog(), state.GetPrefill()))
+	p.hear(state.GetPrefill())
+	t.Say(wait, state.GetPrefill(), state.GetLeaving())
 }
 
 // Sent notes that a request goes to a candidate: from now on the target holds
@@ -50,16 +55,39 @@
 	}
 }
 
-// First takes in the time from sending to the first token, against the
-// expected: the wait that the target named and its computing time.
-func (p *Place) First(target string, took, wait time.Duration, uncached uint64) {
-	t := p.fleet.Load().byName[target]
-	if t == nil {
+// First takes in the time from a run's begin to its first token, against the
+// expected: the wait that the target named when the choice was made and the
+// time to compute what it had not cached. The wait named after the run was
+// taken would hold the run's own computing at the target's own rate.
+func (p *Place) First(c *mtchoice.Choice, target string, took time.Duration, uncached uint64) {
+	i := c.Find(target)
+	if i < 0 {
 		return
 	}
-	p.demote.Observe(t.ID(), took, base+wait+mtscore.Compute(uncached, t.Prefill())+t.Distance())
+	t, wait := c.Target(i), c.Wait(i)
+	p.demote.Observe(t.ID(), took, base+wait+mtscore.Compute(uncached, p.rate())+t.Distance())
 }
 
-// base is the time to a first token that is neither waiting nor computing:
-// the step of a batch and the hops. It keeps short answers from looking slow.
-const base = 50 * time.Millisecond
+const (
+	// base is the time to a first token that is neither waiting nor computing:
+	// the step of a batch and the hops. It keeps short answers from looking slow.
+	base = 10 * time.Millisecond
+	// rateGain is the share of one target's word in the fleet's prefill rate:
+	// of one slow target in six the mean moves by less than a tenth.
+	rateGain = 0.01
+)
+
+// rate is the fleet's mean prefill rate. A slow target must be held against the
+// others: its own measured rate explains its late answers.
+func (p *Place) rate() float64 { return math.Float64frombits(p.mean.Load()) }
+
+func (p *Place) hear(rate float64) {
+	mean := p.rate()
+	switch {
+	case rate <= 0:
+	case mean == 0:
+		p.mean.Store(math.Float64bits(rate))
+	default:
+		p.mean.Store(math.Float64bits(mean + (rate-mean)*rateGain))
+	}
+}
--- a/internal/placement/mtplace/place.go
+++ b/internal/placement/mtplace/place.go
@@ -45,6 +45,7 @@
 	widen      *mtwiden.Widen
 	demote     *mtdemote.Demote
 	turn       atomic.Uint64
+	mean       atomic.Uint64
 
 	mu   sync.Mutex
 	last uint32
--- a/internal/role/mtentry/feedback.go
+++ b/internal/role/mtentry/feedback.go
@@ -9,7 +9,6 @@
 // feedback is what one attempt's frames tell placement.
 type feedback struct {
 	begun    time.Time
-	wait     time.Duration
 	uncached uint64
 	told     bool
 }
@@ -30,11 +29,11 @@
 			place.Sent(choice, name)
 		}
 		matched := min(choice.Prompt(), step.Begin.GetMatched())
-		a.seen = feedback{begun: time.Now(), wait: step.Begin.GetState().GetWait().AsDuration(), uncached: choice.Prompt() - matched}
+		a.seen = feedback{begun: time.Now(), uncached: choice.Prompt() - matched}
 	case *mustardtidev1.Frame_Data:
 		if !a.seen.told && !a.seen.begun.IsZero() {
 			a.seen.told = true
-			place.First(name, time.Since(a.seen.begun), a.seen.wait, a.seen.uncached)
+			place.First(choice, name, time.Since(a.seen.begun), a.seen.uncached)
 		}
 	case *mustardtidev1.Frame_Beat:
 		place.Heard(step.Beat.GetState())
