--- a/internal/placement/mtplace/choose.go
+++ b/internal/placement/mtplace/choose.go
@@ -230,7 +230,7 @@
 // shunned says that a target is demoted and that this is not its trial.
 func (p *Place) shunned(c *mtchoice.Choice, i int) bool {
 	id := c.Target(i).ID()
-	return p.demote.Demoted(id) && !(holder(c, i) && p.demote.Probe(id))
+	return p.demote.Demoted(id) && (!holder(c, i) || !p.demote.Probe(id))
 }
 
 func cheaper(c *mtchoice.Choice, best, i int) int {
