--- a/internal/prefix/mtchain/chain.go
+++ b/internal/prefix/mtchain/chain.go
@@ -36,13 +36,14 @@
 // buffer and allocates nothing.
 func Append(buffer []byte, salt string, granule, stride int, prompt []byte) Chain {
 	span := granule * stride
-	link := Root(salt)
+	link := xxh3.HashString128(salt)
 	for len(prompt) >= span {
 		for range stride {
-			link = Next(link, prompt[:granule])
+			link = follow(link, prompt[:granule])
 			prompt = prompt[granule:]
 		}
-		buffer = append(buffer, link[:]...)
+		mark := link.Bytes()
+		buffer = append(buffer, mark[:]...)
 	}
 	return Chain{marks: buffer, span: span}
 }
@@ -66,10 +67,15 @@
 
 // Next is the link of a granule behind the link before it.
 func Next(link [MarkSize]byte, granule []byte) [MarkSize]byte {
-	seed := binary.LittleEndian.Uint64(link[:8])
-	sum := xxh3.Hash128Seed(granule, seed)
-	sum.Lo ^= binary.LittleEndian.Uint64(link[8:])
-	return sum.Bytes()
+	before := xxh3.Uint128{Hi: binary.BigEndian.Uint64(link[:8]), Lo: binary.BigEndian.Uint64(link[8:])}
+	return follow(before, granule).Bytes()
+}
+
+// follow is Next on numbers: a warm path turns only marks into bytes.
+func follow(link xxh3.Uint128, granule []byte) xxh3.Uint128 {
+	sum := xxh3.Hash128Seed(granule, link.Hi)
+	sum.Lo ^= link.Lo
+	return sum
 }
 
 // Len is the number of marks.
