--- a/internal/standin/mtfleet/proof_cache_test.go
+++ b/internal/standin/mtfleet/proof_cache_test.go
@@ -231,6 +231,11 @@
 	h.engine.setFault(cacheFault{})
 	time.Sleep(5 * time.Second)
 	h.ask(cacheAccounts[0], 1000)
+	time.Sleep(time.Second)
+	salt := mtchain.Salt(cacheAccounts[0], "dossier", h.version, "")
+	if h.matched(cacheAccounts[0], salt, cachePrompt(1000)) == 0 {
+		h.wrong = append(h.wrong, "the view stays blind")
+	}
 	time.Sleep(15 * time.Second)
 	h.check("settled", h.engine.cached)
 	for _, salt := range h.engine.foreign(h.version) {
