--- a/internal/placement/mtplace/choose.go
+++ b/internal/placement/mtplace/choose.go
@@ -195,7 +195,7 @@
 		if holder(c, i) {
 			uncached -= min(c.Prompt(), c.Matched(i))
 		}
-		c.Price(i, mtscore.Of(c.Wait(i), uncached, t.Prefill(), t.Distance(), p.demote.Slowness(t.ID())))
+		c.Price(i, mtscore.Of(c.Wait(i), uncached, p.rate(), t.Distance(), p.demote.Slowness(t.ID())))
 	}
 }
 
