--- a/internal/lab/mtlab/placed.go
+++ b/internal/lab/mtlab/placed.go
@@ -11,23 +11,26 @@
 
 // place chooses as the real entry does: candidates, offers where the entry's
 // knowledge is not fresh, an order.
-func (e *entry) place(c *placed, r *mtrequest.Request, then func([]*mtfake.Target)) {
+func (e *entry) place(c *placed, r *mtrequest.Request, then func([]*mtfake.Target, *mtchoice.Choice)) {
 	choice := c.place.Choose(r.Chain(), r.Work().GetPrompt())
 	if choice.Fresh() {
-		then(e.ordered(c, choice))
+		then(e.ordered(c, choice), choice)
 		return
 	}
 	left := choice.Len()
 	for i := range choice.Len() {
 		t := e.find(choice.Target(i).Name())
 		e.lab.loop.After(e.trip(t), func() {
-			matched, state := t.Promised(r.Chain()), t.State()
+			reply := t.Offer(r.Left(e.lab.loop.Now()), r.Chain())
 			e.lab.loop.After(e.trip(t), func() {
-				c.place.Heard(state)
-				choice.Offered(i, matched, state.GetWait().AsDuration())
+				c.place.Heard(reply.GetState())
+				choice.Offered(i, reply.GetMatched(), reply.GetState().GetWait().AsDuration())
+				if reply.GetRefusal() != nil {
+					choice.Refuse(i)
+				}
 				if left--; left == 0 {
 					c.place.Rank(choice)
-					then(e.ordered(c, choice))
+					then(e.ordered(c, choice), choice)
 				}
 			})
 		})
@@ -67,5 +70,5 @@
 	}
 	name := a.target().Name()
 	c.place.Missed(a.request.Chain(), name, cached)
-	c.place.First(name, took, a.wait, a.uncached)
+	c.place.First(a.choice, name, took, a.uncached)
 }
