--- a/internal/placement/mtscore/score.go
+++ b/internal/placement/mtscore/score.go
@@ -13,7 +13,8 @@
 
 // evictionWeight counts computing more than once: the tokens computed hold up
 // the prompts behind them and evict what others will ask for. Waiting harms
-// the caller alone. docs/MEASUREMENTS.md has the figures for 1, 1.5 and 2.
+// the caller alone. The figure is a choice between 1, the caller's own time,
+// and 2, another's as well; no bound holds it yet.
 const evictionWeight = 1.5
 
 // defaultRate is the prefill rate, tokens a second, taken for a target of which
