See a run's end at once, and do not call a good key unknown

The sidecar's reader read the run's end, then its head with the channel for the next change; an end that came between the two was seen at the next heartbeat only. Refusals and short answers were held up to a second.

--- a/internal/request/mtbuffer/buffer.go
+++ b/internal/request/mtbuffer/buffer.go
@@ -92,8 +92,8 @@
 // Drop frees an ended answer whose reader has all of it.
 func (b *Buffer) Drop() { b.Ack(math.MaxUint64) }
 
-// Next returns the pieces that are ready at offset, some kilobytes at most, or the finish where the answer ends there,
-// or neither and a channel that closes at the next change. It fails where the
+// Next returns the pieces that are ready at offset, some kilobytes at most, or
+// the finish where the answer ends there, or neither and a channel that closes at the next change. It fails where the
 // piece is no longer kept.
 func (b *Buffer) Next(offset uint64) ([]byte, *mustardtidev1.Finish, <-chan struct{}, error) {
 	b.mu.Lock()
@@ -128,11 +128,14 @@
 	return joined
 }
 
-// Head returns the head, or nil and a channel that closes at the next change.
-func (b *Buffer) Head() (*mustardtidev1.Head, <-chan struct{}) {
+// Head returns the head and the finish, nil where they have not come, and a
+// channel that closes at the next change. All three are of one moment: read
+// apart, an end that came in between would be seen by nobody until the next
+// change.
+func (b *Buffer) Head() (*mustardtidev1.Head, *mustardtidev1.Finish, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.head, b.wake
+	return b.head, b.finish, b.wake
 }
 
 // End returns the finish, or nil while the answer goes on.
--- a/internal/request/mtonce/table.go
+++ b/internal/request/mtonce/table.go
@@ -242,7 +242,7 @@
 	var offset uint64
 	headed := false
 	for {
-		head, wake := answer.Head()
+		head, _, wake := answer.Head()
 		if head != nil && !headed {
 			headed = true
 			if err := take(&mustardtidev1.Frame{Step: &mustardtidev1.Frame_Head{Head: head}}); err != nil {
--- a/internal/role/mtentry/serve.go
+++ b/internal/role/mtentry/serve.go
@@ -124,6 +124,11 @@
 // accept reads and checks a request: nothing of it has reached a target.
 func (e *Entry) accept(w http.ResponseWriter, r *http.Request, run string) (*task, *mtrefusal.Refusal) {
 	snapshot := e.spread.Snapshot()
+	// Without settings no key is known: a caller told so for good would give up
+	// a good key.
+	if snapshot.Revision() == 0 {
+		return nil, advise(mtrefusal.New(mtcode.SettingsMissing, ""))
+	}
 	account := snapshot.Account(mtcaller.Bearer(r))
 	if account == nil {
 		return nil, mtrefusal.New(mtcode.UnknownKey, "").Finally()
--- a/internal/role/mtsidecar/pump.go
+++ b/internal/role/mtsidecar/pump.go
@@ -60,10 +60,7 @@
 // there may be one.
 func (s *Sidecar) nextFrame(r *run, headed *bool, offset *uint64) (*mustardtidev1.Frame, <-chan struct{}, error) {
 	if !*headed {
-		// The end is read before the head: an answer that begins and ends between
-		// the two would go out as a whole one without head and payload.
-		finish := r.buffer.End()
-		head, wake := r.buffer.Head()
+		head, finish, wake := r.buffer.Head()
 		if head != nil {
 			*headed = true
 			return &mustardtidev1.Frame{Step: &mustardtidev1.Frame_Head{Head: head}}, nil, nil
