--- a/internal/command/mttable/table.go
+++ b/internal/command/mttable/table.go
@@ -45,7 +45,8 @@
 func Run(args []string) int {
 	app := kingpin.New("mustardtide", "A router for language-model traffic with long shared prompts.")
 	app.HelpFlag.Short('h')
-	app.Terminate(nil)
+	app.Terminate(os.Exit)
+	app.UsageWriter(os.Stdout)
 	actions := map[string]action{}
 	for _, c := range table {
 		actions[c.name] = c.bind(app.Command(c.name, c.help))
