Run both daemons by one function; refuse thin settings; log every event

Cause: RunEntry and RunSidecar were the same text twice; an entry whose settings lack public came up on a random port; the production logger samples, and would leave out events of a burst. Change: one run with an opener; a settings file that lacks keys is refused with all of them named; sampling off.

--- a/internal/role/mtdaemon/daemon.go
+++ b/internal/role/mtdaemon/daemon.go
@@ -29,55 +29,58 @@
 // outlast the longest stream.
 const defaultStop = 10 * time.Minute
 
+// role is what a daemon runs: an entry or a sidecar.
+type role interface {
+	Drain(ctx context.Context) error
+	Wait() error
+}
+
 // RunEntry runs an entry until it is told to stop.
 func RunEntry(path string) error {
-	process, log, err := prepare(path)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	network, err := connect(process)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	entry := mtentry.New(process, network, log)
-	servers, err := entry.Open(ctx)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	if err := serve(process, servers, entry.Drain); err != nil {
-		return trace.Wrap(err)
-	}
-	cancel()
-	return entry.Wait()
+	return run(path, entryNeeds, func(ctx context.Context, process *mustardtidev1.Process, network *mtnet.Net, log *mtevent.Log) (role, []*mtserver.Server, error) {
+		entry := mtentry.New(process, network, log)
+		servers, err := entry.Open(ctx)
+		return entry, servers, trace.Wrap(err)
+	})
 }
 
 // RunSidecar runs a sidecar until it is told to stop.
 func RunSidecar(path string) error {
-	process, log, err := prepare(path)
+	return run(path, sidecarNeeds, func(ctx context.Context, process *mustardtidev1.Process, network *mtnet.Net, log *mtevent.Log) (role, []*mtserver.Server, error) {
+		sidecar := mtsidecar.New(process, network, log)
+		server, err := sidecar.Open(ctx)
+		return sidecar, []*mtserver.Server{server}, trace.Wrap(err)
+	})
+}
+
+// opener opens a role's servers and starts what runs in the background.
+type opener func(context.Context, *mustardtidev1.Process, *mtnet.Net, *mtevent.Log) (role, []*mtserver.Server, error)
+
+// run opens a role, serves until a signal and waits for all that it started.
+func run(path string, needs []need, open opener) error {
+	process, log, err := prepare(path, needs)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	network, err := connect(process)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	sidecar := mtsidecar.New(process, network, log)
-	server, err := sidecar.Open(ctx)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	opened, servers, err := open(ctx, process, network, log)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := serve(process, []*mtserver.Server{server}, sidecar.Drain); err != nil {
+	if err := serve(process, servers, opened.Drain); err != nil {
 		return trace.Wrap(err)
 	}
 	cancel()
-	return sidecar.Wait()
+	return opened.Wait()
 }
 
-func prepare(path string) (*mustardtidev1.Process, *mtevent.Log, error) {
+// prepare reads the process's settings and opens its log.
+func prepare(path string, needs []need) (*mustardtidev1.Process, *mtevent.Log, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, nil, trace.ConvertSystemError(err)
@@ -86,7 +89,13 @@
 	if err := mtschema.New(path).Decode(text, process); err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
-	logger, err := zap.NewProduction()
+	if err := complete(path, process, needs); err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	config := zap.NewProductionConfig()
+	// Sampling would leave out events of a burst, which is when they matter.
+	config.Sampling = nil
+	logger, err := config.Build()
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
