--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,11 @@
 	PATH="$$(go env GOPATH)/bin:$$PATH" buf generate
 
 # The tables of docs/ that are written from the code.
+# Slopes for docs/CAPACITY.md; not part of the verdict.
+bench:
+	go test -run '^$$' -bench . -benchtime 300ms ./internal/placement/... ./internal/prefix/... ./internal/admission/... \
+		./internal/observe/mtevent ./internal/settings/mtcompile ./internal/request/mtshard ./internal/outside/mtengine | grep -E '^Benchmark'
+
 # What control costs at two sizes, from the outside; not part of the verdict.
 capacity: build
 	test/capacity.sh
