Keep a stopped submit loop of make capacity quiet

Cause: the loop's last submit printed an error when its platform was stopped. Change: its stderr goes where its stdout goes.

--- a/test/capacity.sh
+++ b/test/capacity.sh
@@ -76,7 +76,7 @@
 		(
 			for i in $(seq 2 200); do
 				accounts "$count" "$i" >"$work/next.yaml"
-				bin/mustardtide submit --platform "$platform" --base "$work/next.yaml" >/dev/null || exit 0
+				bin/mustardtide submit --platform "$platform" --base "$work/next.yaml" >/dev/null 2>&1 || exit 0
 				sleep 1
 			done
 		) &
