Name the submitter where the environment does not

Cause: the walk through OPERATING.md from a clean clone showed a revision by "": USER is not set everywhere. Ruled out: show (it prints what the manifest has). Change: the account's name from the system where USER is empty.

--- a/internal/command/mttable/submit.go
+++ b/internal/command/mttable/submit.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/user"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -78,7 +79,7 @@
 	if err := invalid(checker.Check()); err != nil {
 		return trace.Wrap(err)
 	}
-	next := held.Next(rand.Text(), os.Getenv("USER"), texts)
+	next := held.Next(rand.Text(), author(), texts)
 	if err := held.Save(ctx, s.client, next); err != nil {
 		return s.failed(ctx, held, next, err)
 	}
@@ -135,3 +136,14 @@
 		return nil, trace.Wrap(err)
 	}
 }
+
+// author names who submits, for the others to ask.
+func author() string {
+	if name := os.Getenv("USER"); name != "" {
+		return name
+	}
+	if known, err := user.Current(); err == nil {
+		return known.Username
+	}
+	return "unknown"
+}
