--- a/internal/placement/mtplace/choose.go
+++ b/internal/placement/mtplace/choose.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// bytesPerToken turns a chain's span into tokens.
-	bytesPerToken = 4
 	// Probes bounds the targets that one request is offered to: two homes, the
 	// homes a level up and down, two remembered ones. Each costs a small call
 	// of some 50 microseconds; they run side by side.
@@ -96,7 +94,7 @@
 		}
 		for _, id := range targets {
 			if t := f.byID[id]; t != nil && t.Usable() {
-				c.AddRemembered(t, uint64(depth*chain.Span()/bytesPerToken))
+				c.AddRemembered(t, uint64(depth*chain.Span()/mtchain.TokenBytes))
 			}
 		}
 		if c.Len() > 0 {
@@ -185,7 +183,7 @@
 
 // holder says that a candidate has cached enough of the prompt.
 func holder(c *mtchoice.Choice, i int) bool {
-	return c.Matched(i) > 0 && c.Matched(i) >= uint64(c.Least()*c.Chain().Span()/bytesPerToken)
+	return c.Matched(i) > 0 && c.Matched(i) >= uint64(c.Least()*c.Chain().Span()/mtchain.TokenBytes)
 }
 
 func (p *Place) price(c *mtchoice.Choice) {
--- a/internal/prefix/mtchain/chain.go
+++ b/internal/prefix/mtchain/chain.go
@@ -17,6 +17,10 @@
 // MarkSize is the size of a mark in bytes.
 const MarkSize = 16
 
+// TokenBytes turns bytes of prompt into tokens where the engine has not counted
+// them yet.
+const TokenBytes = 4
+
 // Chain holds the marks of one prompt, shallowest first. It is immutable.
 type Chain struct {
 	marks []byte
--- a/internal/role/mtentry/serve.go
+++ b/internal/role/mtentry/serve.go
@@ -25,7 +25,6 @@
 	defaultBody     = 4 << 20
 	defaultDeadline = time.Minute
 	defaultTokens   = 16
-	bytesPerToken   = 4
 	// bodyTime bounds the reading of a body: 4 MB at a megabit a second.
 	bodyTime = 40 * time.Second
 )
@@ -203,7 +202,7 @@
 // measure fills in what placement and admission need of a model request.
 func (e *Entry) measure(work *mustardtidev1.Work, service *mustardtidev1.Service, request *mtcaller.Request) {
 	work.Salt = mtchain.Salt(work.GetAccount(), service.GetModel(), service.GetWeights(), service.GetAdapter())
-	work.Prompt = uint64(len(request.Prompt()) / bytesPerToken)
+	work.Prompt = uint64(len(request.Prompt()) / mtchain.TokenBytes)
 	work.Output = uint64(request.Tokens())
 	if work.GetOutput() == 0 {
 		work.Output = defaultTokens
--- a/internal/role/mtsidecar/offer.go
+++ b/internal/role/mtsidecar/offer.go
@@ -11,10 +11,6 @@
 	"github.com/mustardtide/mustardtide/internal/prefix/mtchain"
 )
 
-// bytesPerToken turns bytes of prompt into tokens where the engine has not
-// counted them yet.
-const bytesPerToken = 4
-
 // Offer says what this target would make of a request.
 func (s *Sidecar) Offer(_ context.Context, ask *connect.Request[mustardtidev1.OfferRequest]) (*connect.Response[mustardtidev1.OfferReply], error) {
 	s.hear(ask.Msg.GetPeer())
@@ -39,7 +35,7 @@
 // when it comes to compute it.
 func (s *Sidecar) matched(work *mustardtidev1.Work) uint64 {
 	chain, span := s.chain(work)
-	return uint64(s.view.Promise(chain) * span / bytesPerToken)
+	return uint64(s.view.Promise(chain) * span / mtchain.TokenBytes)
 }
 
 // expectation is what the view held for a run when it was handed to the target.
@@ -73,7 +69,7 @@
 		return
 	}
 	s.view.Learn(x.incarnation, x.chain)
-	found := int(finish.GetCached()) * bytesPerToken / x.span
+	found := int(finish.GetCached()) * mtchain.TokenBytes / x.span
 	if sure && s.view.Judge(x.held, found) {
 		s.log.Add(mtkind.CacheVoid, &mustardtidev1.Event{Target: s.process.GetName()})
 		s.reread()
