--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -33,8 +33,8 @@
 	strayTime = 25 * time.Millisecond
 	// olderTime is what weights cost that are no longer the newest, from
 	// olderAfter on: from then on the answers count for less.
-	olderTime  = 600 * time.Millisecond
-	olderAfter = 900 * time.Millisecond
+	olderTime  = 120 * time.Millisecond
+	olderAfter = 1400 * time.Millisecond
 	// fullCost is what an engine without room in its memory or batch costs: its
 	// newest runs would be preempted and read again.
 	fullCost = 700 * time.Millisecond
--- a/internal/relay/mtbeside/engine.go
+++ b/internal/relay/mtbeside/engine.go
@@ -93,4 +93,3 @@
 }
 
 func versions(r *fleetv1.Report) *fleetv1.Report { return &fleetv1.Report{Models: r.GetModels()} }
-
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -54,12 +54,12 @@
 	plan    *mtrollout.Plan
 	entries map[string]time.Time
 	// target is the engine's id as the entries know it.
-	target  string
-	place   uint32
-	total   uint32
-	report  *fleetv1.Report
-	failed  int
-	number  uint64
+	target string
+	place  uint32
+	total  uint32
+	report *fleetv1.Report
+	failed int
+	number uint64
 	// telling says that the entries were told of an order to come, since told.
 	telling bool
 	told    time.Time
--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -21,8 +21,12 @@
 	// turnTime is the time between turns: a load of 0.55 s and a little.
 	turnTime = 600 * time.Millisecond
 	// leadTime is how long before its order an engine gets no more requests, so
-	// that none is on its way when the engine begins to refuse.
-	leadTime = 25 * time.Millisecond
+	// that its short runs end; those that are left go on under the new weights,
+	// and what they make then counts for nothing.
+	leadTime = 400 * time.Millisecond
+	// noticeTime is the least of it: no request should be on its way when the
+	// engine begins to refuse.
+	noticeTime = 20 * time.Millisecond
 	// againTime is the wait before an order without an answer is sent again,
 	// where the report shows nothing of it.
 	againTime = 600 * time.Millisecond
@@ -53,7 +57,7 @@
 	if old.weights.GetVersion() >= weights.GetVersion() {
 		return false
 	}
-	p.named[weights.GetModel()] = turn{weights: weights, due: time.Now().Add(offset(place, total))}
+	p.named[weights.GetModel()] = turn{weights: weights, due: time.Now().Add(leadTime + offset(place, total))}
 	return true
 }
 
@@ -100,7 +104,8 @@
 		return nil
 	}
 	now := time.Now()
-	if report.GetBusy() || now.Before(t.due) || now.Before(p.blocked) {
+	idle := report.GetRunning()+report.GetWaiting() == 0 && !now.Before(t.due.Add(noticeTime-leadTime))
+	if report.GetBusy() || now.Before(t.due) && !idle || now.Before(p.blocked) {
 		return nil
 	}
 	// An order without an answer may still be carried out. It names the count of
