Stop without cutting: refuse after the notice; probe a store that is away

Change: after 2.9 s a stopping entry refuses, and closes idle connections; a store that is away is asked with short calls; no run goes to weights older than 0.6 of the time allowed while others have the newest.

--- a/internal/members/mtfollow/follow.go
+++ b/internal/members/mtfollow/follow.go
@@ -18,6 +18,8 @@
 	// two seconds after a store that was away counts as stable again, which is
 	// three seconds after its return.
 	watchTime = 3 * time.Second
+	// probeTime is the same while the store is away.
+	probeTime = time.Millisecond
 	// firstPause and lastPause bound the wait after a failed call; half of each
 	// is random, so that a fleet does not return to the store as one. The last
 	// is short beside the two seconds in which a change must be in force.
@@ -77,7 +79,13 @@
 		f.revision = revision
 		return nil
 	}
-	changes, revision, err := f.source.Watch(ctx, f.revision, watchTime)
+	wait := watchTime
+	if f.away {
+		// A call that a silent store has swallowed is not answered when the store
+		// is back: short calls find its return at once.
+		wait = probeTime
+	}
+	changes, revision, err := f.source.Watch(ctx, f.revision, wait)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -23,7 +23,10 @@
 // Board is safe for concurrent use.
 type Board struct {
 	datacentre string
-	holders    *mtholder.Memory
+	// oldest is how long after newer weights were named a run may still be
+	// sent to older ones.
+	oldest  time.Duration
+	holders *mtholder.Memory
 
 	mu      sync.Mutex
 	records map[string]*record
@@ -59,10 +62,16 @@
 	version int64
 }
 
-// New returns an empty board for an entry of a data centre.
-func New(datacentre string) *Board {
+// oldShare is the part of the time allowed for older weights in which requests
+// may still be sent to them: what is sent may wait before it begins.
+const oldShare = 0.6
+
+// New returns an empty board for an entry of a data centre; allowed is the time
+// after the naming of new weights in which a run may begin on older ones.
+func New(datacentre string, allowed time.Duration) *Board {
 	return &Board{
 		datacentre: datacentre,
+		oldest:     time.Duration(float64(allowed) * oldShare),
 		holders:    mtholder.New(),
 		records:    map[string]*record{},
 		named:      map[string]naming{},
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -96,6 +96,7 @@
 	var best *Choice
 	matches := map[int64]map[string]mtholder.Match{}
 	home := b.home(q)
+	newest := q.model() != "" && b.anyNewest(q)
 	for id, r := range b.records {
 		if r.target.GetService() != q.service.GetName() || q.excluded[id] || !r.usable() {
 			continue
@@ -103,6 +104,9 @@
 		c := &Choice{board: b, record: r, query: q, id: id}
 		if q.model() != "" {
 			c.version = r.weights(q.model())
+			if b.outdated(q.model(), c.version, newest) {
+				continue
+			}
 			c.salt = q.salt(c.version)
 			if matches[c.version] == nil {
 				matches[c.version] = b.holders.Matches(c.salt, q.ask.GetParts())
@@ -225,6 +229,24 @@
 	return slots > 0 && r.running+r.others() >= slots
 }
 
+// outdated says that the target's weights are too old for a run to begin on:
+// others have the newest, and the time allowed for older ones is nearly over.
+func (b *Board) outdated(model string, version int64, newest bool) bool {
+	n := b.named[model]
+	return newest && version < n.weights.GetVersion() && time.Since(n.since) > b.oldest
+}
+
+// anyNewest says that some usable target of the service has the newest weights.
+func (b *Board) anyNewest(q *Query) bool {
+	version := b.named[q.model()].weights.GetVersion()
+	for _, r := range b.records {
+		if r.target.GetService() == q.service.GetName() && r.usable() && r.weights(q.model()) >= version {
+			return true
+		}
+	}
+	return false
+}
+
 // older says that newer weights have been named for a while.
 func (b *Board) older(model string, version int64) bool {
 	n := b.named[model]
--- a/internal/relay/mtbeside/engine.go
+++ b/internal/relay/mtbeside/engine.go
@@ -67,7 +67,7 @@
 		link.Close()
 		return 0, nil, trace.Wrap(err)
 	}
-	response, err := link.Receive(method, func(*http.Response) bool { return true })
+	response, err := link.Receive(method, func(*http.Response) bool { return true }) //nolint:bodyclose // the link ends with its body
 	if err != nil {
 		link.Close()
 		return 0, nil, trace.Wrap(err)
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"sync"
@@ -89,10 +90,9 @@
 func (s *Sidecar) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	heard := make(chan error, 1)
-	go func() { heard <- s.socket.Serve(ctx, s.hear) }()
-	alone := make(chan error, 1)
-	go func() { alone <- s.ask(ctx) }()
+	ends := make(chan error, 2)
+	go func() { ends <- s.socket.Serve(ctx, s.hear) }()
+	go func() { ends <- s.ask(ctx) }()
 	for ctx.Err() == nil {
 		s.look(ctx)
 		s.order(ctx)
@@ -101,9 +101,7 @@
 		case <-time.After(s.interval()):
 		}
 	}
-	<-heard
-	<-alone
-	return ctx.Err()
+	return errors.Join(<-ends, <-ends)
 }
 
 // interval is the time to the next look at the engine.
--- a/internal/relay/mtfront/deliver.go
+++ b/internal/relay/mtfront/deliver.go
@@ -142,10 +142,9 @@
 // callerError is a failure to write to the caller.
 type callerError struct{ error }
 
-// copyEvents passes bytes on; of a resumable stream only whole events, so that
-// another target can go on after the last of them.
+// copyEvents passes bytes on as they come; of a resumable stream only whole
+// events, so that another target can go on after the last of them.
 func (r *request) copyEvents(from io.Reader) (int, error) {
-	flusher := http.NewResponseController(r.out)
 	buffer := make([]byte, copySize)
 	var pending []byte
 	count := 0
@@ -154,29 +153,20 @@
 		chunk := buffer[:n]
 		if r.delivered != nil {
 			pending = append(pending, chunk...)
-			end := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
-			if end < len(eventEnd) {
-				end = 0
-			}
-			chunk = pending[:end]
+			chunk = pending[:wholeEvents(pending)]
+			r.delivered.see(chunk)
 		}
-		if len(chunk) > 0 {
-			if _, failure := r.out.Write(chunk); failure != nil {
-				return count, &callerError{failure}
-			}
-			if failure := flusher.Flush(); failure != nil {
-				return count, &callerError{failure}
-			}
-			count += len(chunk)
+		if failure := r.pass(chunk); failure != nil {
+			return count, failure
 		}
+		count += len(chunk)
 		if r.delivered != nil {
-			r.delivered.see(chunk)
 			pending = append(pending[:0], pending[len(chunk):]...)
 		}
+		if errors.Is(err, io.EOF) && len(pending) > 0 {
+			return count, io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
-			if len(pending) > 0 {
-				return count, io.ErrUnexpectedEOF
-			}
 			return count, nil
 		}
 		if err != nil {
@@ -185,6 +175,28 @@
 	}
 }
 
+// pass writes a part of a stream to the caller at once.
+func (r *request) pass(chunk []byte) error {
+	if len(chunk) == 0 {
+		return nil
+	}
+	if _, err := r.out.Write(chunk); err != nil {
+		return &callerError{err}
+	}
+	if err := http.NewResponseController(r.out).Flush(); err != nil {
+		return &callerError{err}
+	}
+	return nil
+}
+
+// wholeEvents is the length of the whole events at the beginning of some bytes.
+func wholeEvents(b []byte) int {
+	if last := bytes.LastIndex(b, eventEnd); last >= 0 {
+		return last + len(eventEnd)
+	}
+	return 0
+}
+
 // eventEnd ends an event of a stream.
 var eventEnd = []byte("\n\n")
 
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -45,6 +45,7 @@
 
 	catalog  atomic.Pointer[mtcatalog.Catalog]
 	stopping atomic.Bool
+	closed   atomic.Bool
 	live     atomic.Int64
 	wake     chan struct{}
 
@@ -59,7 +60,7 @@
 		store:      store,
 		socket:     socket,
 		trail:      trail,
-		board:      mtboard.New(site.GetDatacentre()),
+		board:      mtboard.New(site.GetDatacentre(), site.GetBounds().GetWeights().AsDuration()),
 		roster:     mtroster.New(),
 		wake:       make(chan struct{}, 1),
 		allowances: map[string]*mtallowance.Allowance{},
@@ -116,6 +117,10 @@
 	}
 }
 
+// Close lets the entry refuse requests that still come, which have time to go
+// elsewhere and may not have the time to end here.
+func (f *Front) Close() { f.closed.Store(true) }
+
 // Live is the number of requests under way.
 func (f *Front) Live() int64 { return f.live.Load() }
 
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -57,7 +57,7 @@
 	if err := link.Send(r.in.Method, r.uri, r.in.Host, header, r.body); err != nil {
 		return r.lost(ctx, choice, link, err)
 	}
-	response, err := link.Receive(r.in.Method, r.mine)
+	response, err := link.Receive(r.in.Method, r.mine) //nolint:bodyclose // the link ends with its body
 	if err != nil {
 		return r.lost(ctx, choice, link, err)
 	}
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -25,6 +25,9 @@
 	// startAgain is when a caller should come back to an entry that knows no
 	// configuration yet: it takes some milliseconds to read one.
 	startAgain = 300 * time.Millisecond
+	// stopAgain is when a caller should come back from an entry that stops: at
+	// once, over a new connection, which leads elsewhere.
+	stopAgain = 10 * time.Millisecond
 )
 
 // request is one caller's request and what was decided about it.
@@ -68,6 +71,10 @@
 	if !r.readBody(ctx) {
 		return
 	}
+	if f.closed.Load() {
+		r.reject("this entry is about to stop", stopAgain)
+		return
+	}
 	r.serve(ctx)
 }
 
--- a/internal/relay/mtpulse/socket.go
+++ b/internal/relay/mtpulse/socket.go
@@ -62,7 +62,7 @@
 
 // Serve hands each datagram and its sender to take until ctx ends.
 func (s *Socket) Serve(ctx context.Context, take func(from string, data []byte)) error {
-	defer s.conn.Close()
+	defer func() { _ = s.conn.Close() }()
 	buffer := make([]byte, maxSize+1)
 	for ctx.Err() == nil {
 		if err := s.conn.SetReadDeadline(time.Now().Add(pollTime)); err != nil {
--- a/internal/role/mtfleet/entry.go
+++ b/internal/role/mtfleet/entry.go
@@ -14,11 +14,10 @@
 )
 
 const (
-	// noticeTime is how long a stopping entry serves at least: the balancer asks
-	// each second and needs two misses to send new connections elsewhere.
-	noticeTime = 3200 * time.Millisecond
-	// drainPoll is how often a stopping entry looks whether its work has ended.
-	drainPoll = 20 * time.Millisecond
+	// noticeTime is how long a stopping entry takes requests: the balancer asks
+	// each second and needs two misses to send new connections elsewhere. What
+	// it takes later may not end within the grace time.
+	noticeTime = 2900 * time.Millisecond
 )
 
 // RunEntry runs an entry until SIGTERM.
@@ -45,7 +44,7 @@
 		return trace.Wrap(err)
 	}
 	return d.serve([]*mtserver.Server{public, ready, metrics}, front.Run, func(ctx context.Context) {
-		drain(ctx, front)
+		drain(ctx, front, public)
 	})
 }
 
@@ -59,15 +58,16 @@
 	})
 }
 
-// drain serves until the balancer has taken the entry out and the last request
-// has ended.
-func drain(ctx context.Context, front *mtfront.Front) {
+// drain serves until the balancer has taken the entry out, then refuses what
+// still comes over open connections, and waits for the requests under way.
+func drain(ctx context.Context, front *mtfront.Front, public *mtserver.Server) {
 	front.Stop()
-	begun := time.Now()
-	for ctx.Err() == nil && (time.Since(begun) < noticeTime || front.Live() > 0) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(drainPoll):
-		}
+	select {
+	case <-ctx.Done():
+	case <-time.After(noticeTime):
 	}
+	front.Close()
+	// Idle connections are closed here; an error says that requests outlast the
+	// grace time, and the servers' end cuts them.
+	_ = public.Shutdown(ctx)
 }
--- a/internal/role/mtfleet/run.go
+++ b/internal/role/mtfleet/run.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/url"
@@ -107,12 +108,12 @@
 func (d *daemon) serve(servers []*mtserver.Server, role func(context.Context) error, drain func(context.Context)) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	ends := make(chan error, 3)
+	ends := make(chan error, 2)
 	go func() { ends <- role(ctx) }()
 	go func() { ends <- d.reload(ctx) }()
-	logCtx, logCancel := context.WithCancel(context.Background())
+	logging, endLog := context.WithCancel(context.Background())
 	logged := make(chan error, 1)
-	go func() { logged <- d.sink.Run(logCtx) }()
+	go func() { logged <- d.sink.Run(logging) }()
 	d.trail.Say(mtkind.FleetStarted, zap.String("role", "daemon"), zap.String("datacentre", d.site.GetDatacentre()),
 		zap.String("address", d.site.GetAddress()), zap.Int("pid", os.Getpid()))
 
@@ -135,11 +136,12 @@
 	)
 	err := app.Run()
 	cancel()
-	<-ends
-	<-ends
-	d.trail.Say(mtkind.FleetStopped)
-	logCancel()
-	<-logged
+	ended := errors.Join(<-ends, <-ends)
+	d.trail.Say(mtkind.FleetStopped, zap.NamedError("role", ended))
+	endLog()
+	if err := <-logged; err != nil && !errors.Is(err, context.Canceled) {
+		return trace.Wrap(err)
+	}
 	return trace.Wrap(err)
 }
 
