Tell entries what each engine's cache holds, from its events

Cause: entries believed for 20 s that an engine holds what they had sent it; engines evict within 8 to 15 s, and other entries' requests were unknown. Change: the sidecar follows its engine's events and tells each entry the changes since its last word.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -54,6 +54,10 @@
 	loaded  *fleetv1.Answer
 	loadAge time.Time
 
+	// epoch and upto say which of the cache's changes are taken in.
+	epoch int64
+	upto  uint64
+
 	faults faults
 	pace   pace
 	// misplaced says that another program answers at the address.
@@ -116,6 +120,31 @@
 	}
 	r.state = state
 	r.heard = time.Now()
+	b.cached(r, state)
+}
+
+// cached takes in changes of an engine's cache. Those that do not follow on what
+// is known are left for the next state, which begins where the hello says.
+func (b *Board) cached(r *record, state *fleetv1.State) {
+	if state.GetReset_() || state.GetEpoch() != r.epoch {
+		b.holders.Forget(state.GetTarget())
+		r.epoch, r.upto = state.GetEpoch(), 0
+	}
+	if state.GetSince() > r.upto || state.GetUpto() <= r.upto {
+		return
+	}
+	b.holders.Learn(state.GetTarget(), state.GetChanges())
+	r.upto = state.GetUpto()
+}
+
+// Cached says which changes of a target's cache are known, for the next hello.
+func (b *Board) Cached(target string) (epoch int64, upto uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.records[target]; r != nil {
+		return r.epoch, r.upto
+	}
+	return 0, 0
 }
 
 // Name takes in a model's newest weights; it reports whether they are news.
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -19,6 +19,7 @@
 	salt     string
 	fetch    string
 	matched  int64
+	fetched  int64
 	reads    int64
 	estimate time.Duration
 	cost     time.Duration
@@ -53,7 +54,7 @@
 	for _, part := range shared {
 		tokens += part.GetTokens()
 	}
-	return c.matched < tokens && c.fetch == ""
+	return c.matched < tokens && c.matched+c.fetched < tokens
 }
 
 // Cost is the estimate by which the target was chosen.
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -159,7 +159,7 @@
 	own := matches[c.id]
 	c.matched = own.Tokens
 	source, fetched := b.source(c, matches)
-	c.fetch = source
+	c.fetch, c.fetched = source, fetched
 	left := max(0, q.ask.GetPrompt()-own.Tokens-fetched)
 	c.reads = left
 	cost := time.Duration(r.pending+left)*tokenTime + firstTime
--- a/internal/placement/mtholder/holder.go
+++ b/internal/placement/mtholder/holder.go
@@ -8,6 +8,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,13 +17,16 @@
 
 const (
 	// kept bounds the parts that are remembered: at about 200 bytes each, 2 MB.
-	kept = 8192
+	kept = 16384
 	// holders bounds the targets remembered for one part; more add nothing, as
 	// one source is named for a fetch.
 	holders = 6
-	// lasting is how long a part counts as held after its last use: engines drop
-	// what was not used for some seconds when their memory fills.
-	lasting = 20 * time.Second
+	// believed is how long a part counts as held after its last use where the
+	// target has not told of it: engines drop what was not used for some seconds
+	// when their memory fills.
+	believed = 3 * time.Second
+	// told is the same where it has: a few events never come.
+	told = time.Minute
 )
 
 // Memory is one entry's. It is safe for concurrent use.
@@ -45,8 +49,14 @@
 type held struct {
 	target string
 	since  time.Time
+	// tokens are those that the target is known to hold; unknown where it is
+	// only believed to hold the whole part.
+	tokens int64
 }
 
+// unknown tokens are as many as the part has.
+const unknown = -1
+
 // New returns an empty memory.
 func New() *Memory {
 	return &Memory{parts: map[key]*list.Element{}, order: list.New()}
@@ -59,11 +69,31 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	for _, part := range parts {
-		m.note(key{salt, part.GetId()}, target, now)
+		m.note(key{salt, part.GetId()}, held{target, now, unknown})
 	}
 }
 
-func (m *Memory) note(k key, target string, now time.Time) {
+// Learn takes in what a target told of its cache.
+func (m *Memory) Learn(target string, changes []*fleetv1.Held) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, change := range changes {
+		k := key{change.GetSalt(), change.GetPart()}
+		if change.GetTokens() > 0 {
+			m.note(k, held{target, now, change.GetTokens()})
+		} else if element := m.parts[k]; element != nil {
+			element.Value.(*record).drop(target)
+		}
+	}
+}
+
+// drop forgets one target.
+func (r *record) drop(target string) {
+	r.held = slices.DeleteFunc(r.held, func(h held) bool { return h.target == target })
+}
+
+func (m *Memory) note(k key, h held) {
 	element := m.parts[k]
 	if element == nil {
 		if m.order.Len() >= kept {
@@ -77,13 +107,13 @@
 	m.order.MoveToFront(element)
 	r := element.Value.(*record)
 	for i := range r.held {
-		if r.held[i].target == target {
-			r.held[i].since = now
+		if r.held[i].target == h.target {
+			r.held[i] = h
 			return
 		}
 	}
 	if len(r.held) < holders {
-		r.held = append(r.held, held{target, now})
+		r.held = append(r.held, h)
 		return
 	}
 	oldest := 0
@@ -92,7 +122,14 @@
 			oldest = i
 		}
 	}
-	r.held[oldest] = held{target, now}
+	r.held[oldest] = h
+}
+
+func (h held) lasting() time.Duration {
+	if h.tokens == unknown {
+		return believed
+	}
+	return told
 }
 
 // Match is what a target holds of a prompt from its beginning.
@@ -116,9 +153,18 @@
 		}
 		for _, h := range element.Value.(*record).held {
 			match := found[h.target]
-			if match.Parts == i && now.Sub(h.since) < lasting {
-				found[h.target] = Match{Parts: i + 1, Tokens: match.Tokens + part.GetTokens()}
+			if match.Parts != i || now.Sub(h.since) > h.lasting() {
+				continue
 			}
+			tokens := part.GetTokens()
+			if h.tokens != unknown {
+				tokens = min(tokens, h.tokens)
+			}
+			match.Tokens += tokens
+			if tokens == part.GetTokens() {
+				match.Parts++
+			}
+			found[h.target] = match
 		}
 	}
 	return found
@@ -129,12 +175,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for element := m.order.Front(); element != nil; element = element.Next() {
-		r := element.Value.(*record)
-		for i := range r.held {
-			if r.held[i].target == target {
-				r.held = append(r.held[:i], r.held[i+1:]...)
-				break
-			}
-		}
+		element.Value.(*record).drop(target)
 	}
 }
--- /dev/null
+++ b/internal/relay/mtbeside/cache.go
@@ -0,0 +1,48 @@
+package mtbeside
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+)
+
+const (
+	// eventsWait is how long a call for events waits: less than a call's bound.
+	eventsWait = 900 * time.Millisecond
+	// eventsPause is the wait after a call that failed or brought events: at
+	// most so many calls a second, each with what came meanwhile.
+	eventsPause = 50 * time.Millisecond
+)
+
+// follow keeps what the engine's cache holds in step with its events.
+func (s *Sidecar) follow(ctx context.Context) error {
+	var since, epoch int64
+	for ctx.Err() == nil {
+		events, err := s.engine.cacheEvents(ctx, since)
+		if err == nil {
+			if events.GetLost() || events.GetEpoch() != epoch {
+				s.trail.Say(mtkind.CacheVoid, zap.Bool("lost", events.GetLost()),
+					zap.Int64("epoch", events.GetEpoch()), zap.Int64("before", epoch))
+			}
+			s.mu.Lock()
+			if events.GetLost() || events.GetEpoch() != epoch {
+				// What is held now is told by the events to come: the list of all
+				// would stall the engine.
+				s.held.Clear(events.GetEpoch())
+			}
+			for _, change := range events.GetChanges() {
+				s.held.Put(change)
+			}
+			s.mu.Unlock()
+			epoch, since = events.GetEpoch(), events.GetNext()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(eventsPause):
+		}
+	}
+	return ctx.Err()
+}
--- a/internal/relay/mtbeside/engine.go
+++ b/internal/relay/mtbeside/engine.go
@@ -40,6 +40,23 @@
 	return report, trace.Wrap(err)
 }
 
+// cacheEvents waits for changes of the engine's cache after a number.
+func (e *engine) cacheEvents(ctx context.Context, since int64) (*fleetv1.CacheEvents, error) {
+	header := http.Header{}
+	for name, value := range mtspeech.CacheEventsHeaders(eventsWait) {
+		header.Set(name, value)
+	}
+	status, body, err := e.call(ctx, http.MethodGet, mtspeech.CacheEventsPath(since), header, nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if status != http.StatusOK {
+		return nil, trace.ConnectionProblem(nil, "the engine answered the call for its events with status %d", status)
+	}
+	events, err := mtspeech.DecodeCacheEvents(body)
+	return events, trace.Wrap(err)
+}
+
 // swap sends an order and returns the status.
 func (e *engine) swap(ctx context.Context, order *fleetv1.Swap) (int, error) {
 	body, err := mtspeech.EncodeSwap(order)
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -17,6 +17,7 @@
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/observe/mttrail"
+	"github.com/mustardtide/mustardtide/internal/prefix/mtheld"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 	"github.com/mustardtide/mustardtide/internal/relay/mtrollout"
@@ -54,6 +55,7 @@
 	mu      sync.Mutex
 	plan    *mtrollout.Plan
 	entries map[string]time.Time
+	held    *mtheld.Log
 	// target is the engine's id as the entries know it.
 	target string
 	place  uint32
@@ -76,6 +78,7 @@
 		engine:  newEngine(site.GetTarget(), mtlink.Dialer(callTime)),
 		plan:    mtrollout.New(),
 		entries: map[string]time.Time{},
+		held:    mtheld.New(),
 		report:  &fleetv1.Report{},
 		failed:  lostAfter,
 	}
@@ -90,7 +93,8 @@
 func (s *Sidecar) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ends := make(chan error, 2)
+	ends := make(chan error, 3)
+	go func() { ends <- s.follow(ctx) }()
 	go func() { ends <- s.socket.Serve(ctx, s.hear) }()
 	go func() { ends <- s.ask(ctx) }()
 	for ctx.Err() == nil {
@@ -101,7 +105,7 @@
 		case <-time.After(s.interval()):
 		}
 	}
-	return errors.Join(<-ends, <-ends)
+	return errors.Join(<-ends, <-ends, <-ends)
 }
 
 // interval is the time to the next look at the engine.
@@ -126,11 +130,14 @@
 	s.mu.Lock()
 	s.entries[from] = time.Now()
 	s.target = hello.GetTarget()
-	s.place, s.total = hello.GetPlace(), hello.GetTotal()
+	if hello.GetTotal() > 0 {
+		s.place, s.total = hello.GetPlace(), hello.GetTotal()
+	}
 	for _, weights := range hello.GetWeights() {
 		s.name(weights, "entry "+hello.GetEntry())
 	}
 	state := s.state()
+	s.held.Fill(state, hello.GetEpoch(), hello.GetSince())
 	s.mu.Unlock()
 	s.tell(state, from)
 }
@@ -187,7 +194,8 @@
 	return len(s.entries)
 }
 
-// state is what the entries are told; the sidecar is locked.
+// state is what the entries are told; the sidecar is locked. A state without
+// changes of the cache says so by its numbers.
 func (s *Sidecar) state() *fleetv1.State {
 	s.number++
 	return &fleetv1.State{
@@ -198,6 +206,7 @@
 		Entries:  uint32(s.live()),
 		Number:   s.number,
 		Named:    s.plan.Named(),
+		Epoch:    s.held.Epoch(),
 	}
 }
 
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -53,15 +53,21 @@
 				Place:   uint32(place),
 				Total:   uint32(len(engines)),
 			}
-			if err := f.socket.Send(mtbeside.Address(host(engine.GetAddress()), f.site), hello); err != nil {
-				f.trail.Metrics().Add("hello_send_failures_total", 1)
-			}
+			hello.Epoch, hello.Since = f.board.Cached(engine.GetId())
+			f.hello(mtbeside.Address(host(engine.GetAddress()), f.site), hello)
 			count++
 		}
 	}
 	return count
 }
 
+// hello sends one; a lost one is made up for by the next.
+func (f *Front) hello(to string, hello *fleetv1.Hello) {
+	if err := f.socket.Send(to, hello); err != nil {
+		f.trail.Metrics().Add("hello_send_failures_total", 1)
+	}
+}
+
 // turns orders engines for a rollout: anew for each version, so that it is not
 // always the same that come last, and alike at all entries.
 func turns(engines []*fleetv1.Target, named []*fleetv1.Weights) []*fleetv1.Target {
@@ -85,13 +91,18 @@
 }
 
 // hear takes in a sidecar's state.
-func (f *Front) hear(_ string, data []byte) {
+func (f *Front) hear(from string, data []byte) {
 	state := &fleetv1.State{}
 	if err := proto.Unmarshal(data, state); err != nil {
 		f.trail.Metrics().Add("datagrams_unreadable_total", 1)
 		return
 	}
 	f.board.Hear(state)
+	if state.GetMore() {
+		hello := &fleetv1.Hello{Entry: f.site.GetName(), Target: state.GetTarget()}
+		hello.Epoch, hello.Since = f.board.Cached(state.GetTarget())
+		f.hello(from, hello)
+	}
 	// The store may be out of this entry's reach, and not of another's.
 	for _, w := range state.GetNamed() {
 		f.named(w, "sidecar of "+state.GetTarget())
