Let entries tell each other what engines are given to read

Change: a notice to the other entries when parts are given to an engine and when they are read; requests follow the reader; sidecars name the live entries.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -147,6 +147,15 @@
 	return 0, 0
 }
 
+// Notice takes in what another entry has given an engine to read.
+func (b *Board) Notice(notice *fleetv1.Notice) {
+	if notice.GetRead() {
+		b.holders.Note(notice.GetSalt(), notice.GetTarget(), notice.GetParts())
+		return
+	}
+	b.holders.Read(notice.GetSalt(), notice.GetTarget(), notice.GetParts())
+}
+
 // Name takes in a model's newest weights; it reports whether they are news.
 func (b *Board) Name(weights *fleetv1.Weights) bool {
 	b.mu.Lock()
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -63,13 +63,34 @@
 // Matched is what the target is believed to hold of the prompt, in tokens.
 func (c *Choice) Matched() int64 { return c.matched }
 
+// Fetched is what the named source is believed to hold beyond, in tokens.
+func (c *Choice) Fetched() int64 { return c.fetched }
+
 // begin counts the send; the board is locked.
 func (c *Choice) begin() {
 	c.since = time.Now()
 	c.record.running++
 	c.record.pending += c.reads
+	if c.salt != "" {
+		c.board.holders.Read(c.salt, c.id, c.query.shared())
+	}
 }
 
+// Reads says that the target is to read so much of the shared parts that other
+// entries should know, and which parts.
+func (c *Choice) Reads() ([]*fleetv1.Part, bool) {
+	shared := c.query.shared()
+	var tokens int64
+	for _, part := range shared {
+		tokens += part.GetTokens()
+	}
+	return shared, c.salt != "" && tokens-c.matched-c.fetched >= tellLeast
+}
+
+// tellLeast is the least number of tokens to be read of which other entries are
+// told: below it reading them again costs little more than the telling.
+const tellLeast = 512
+
 // Started notes the first byte of the answer: the prompt has been read.
 func (c *Choice) Started(answer *fleetv1.Answer) {
 	c.board.mu.Lock()
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -192,18 +192,18 @@
 	address, local := "", false
 	for id, match := range matches {
 		r := b.records[id]
-		if id == c.id || r == nil || time.Now().Before(r.faults.out) || match.Tokens < own.Tokens+fetchLeast {
+		if id == c.id || r == nil || time.Now().Before(r.faults.out) || match.Read < own.Tokens+fetchLeast {
 			continue
 		}
 		near := r.target.GetDatacentre() == c.record.target.GetDatacentre()
-		if match.Tokens > best.Tokens || match.Tokens == best.Tokens && near && !local {
+		if match.Read > best.Read || match.Read == best.Read && near && !local {
 			best, address, local = match, r.target.GetAddress(), near
 		}
 	}
 	if address == "" {
 		return "", 0
 	}
-	return address, best.Tokens - own.Tokens
+	return address, best.Read - own.Tokens
 }
 
 // others are the requests of other entries on the target, by its sidecar.
--- a/internal/placement/mtholder/holder.go
+++ b/internal/placement/mtholder/holder.go
@@ -25,6 +25,8 @@
 	// target has not told of it: engines drop what was not used for some seconds
 	// when their memory fills.
 	believed = 3 * time.Second
+	// given is how long a part counts as about to be read.
+	given = time.Second
 	// told is the same where it has: a few events never come.
 	told = time.Minute
 )
@@ -52,6 +54,8 @@
 	// tokens are those that the target is known to hold; unknown where it is
 	// only believed to hold the whole part.
 	tokens int64
+	// reading says that the target has been given the part to read.
+	reading bool
 }
 
 // unknown tokens are as many as the part has.
@@ -65,11 +69,20 @@
 // Note remembers that a target holds the parts now, which it has just read or
 // fetched.
 func (m *Memory) Note(salt, target string, parts []*fleetv1.Part) {
+	m.all(salt, parts, held{target: target, since: time.Now(), tokens: unknown})
+}
+
+// Read remembers that a target has been given the parts to read. Requests that
+// need them too do best to follow them there; nobody can fetch them yet.
+func (m *Memory) Read(salt, target string, parts []*fleetv1.Part) {
+	m.all(salt, parts, held{target: target, since: time.Now(), tokens: unknown, reading: true})
+}
+
+func (m *Memory) all(salt string, parts []*fleetv1.Part, h held) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
 	for _, part := range parts {
-		m.note(key{salt, part.GetId()}, held{target, now, unknown})
+		m.note(key{salt, part.GetId()}, h)
 	}
 }
 
@@ -81,7 +94,7 @@
 	for _, change := range changes {
 		k := key{change.GetSalt(), change.GetPart()}
 		if change.GetTokens() > 0 {
-			m.note(k, held{target, now, change.GetTokens()})
+			m.note(k, held{target: target, since: now, tokens: change.GetTokens()})
 		} else if element := m.parts[k]; element != nil {
 			element.Value.(*record).drop(target)
 		}
@@ -108,7 +121,9 @@
 	r := element.Value.(*record)
 	for i := range r.held {
 		if r.held[i].target == h.target {
-			r.held[i] = h
+			if !h.reading || r.held[i].since.Add(r.held[i].lasting()).Before(h.since) {
+				r.held[i] = h
+			}
 			return
 		}
 	}
@@ -126,10 +141,14 @@
 }
 
 func (h held) lasting() time.Duration {
-	if h.tokens == unknown {
+	switch {
+	case h.reading:
+		return given
+	case h.tokens == unknown:
 		return believed
+	default:
+		return told
 	}
-	return told
 }
 
 // Match is what a target holds of a prompt from its beginning.
@@ -137,6 +156,8 @@
 	// Parts and Tokens are the length of the match.
 	Parts  int
 	Tokens int64
+	// Read is the part of the tokens that has been read and can be fetched.
+	Read int64
 }
 
 // Matches returns for each target that holds the prompt's first part how far
@@ -160,6 +181,9 @@
 			if h.tokens != unknown {
 				tokens = min(tokens, h.tokens)
 			}
+			if match.Read == match.Tokens && !h.reading {
+				match.Read += tokens
+			}
 			match.Tokens += tokens
 			if tokens == part.GetTokens() {
 				match.Parts++
--- a/internal/prefix/mtheld/log.go
+++ b/internal/prefix/mtheld/log.go
@@ -14,7 +14,7 @@
 	kept = 4096
 	// perState bounds the changes in one datagram: at about 50 bytes each they
 	// fit beside the rest.
-	perState = 20
+	perState = 16
 )
 
 // Log holds each part once, at the place of its last change. It is not safe for
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -207,9 +207,26 @@
 		Number:   s.number,
 		Named:    s.plan.Named(),
 		Epoch:    s.held.Epoch(),
+		Peers:    s.peers(),
 	}
 }
 
+// maxPeers bounds the entries that a state names: enough for a data centre's,
+// and few enough for a datagram.
+const maxPeers = 12
+
+// peers names some live entries, drawn by the map's order.
+func (s *Sidecar) peers() []string {
+	var list []string
+	for from := range s.entries {
+		if len(list) == maxPeers {
+			break
+		}
+		list = append(list, from)
+	}
+	return list
+}
+
 // tellAll tells every live entry at once: something has changed on which they
 // choose.
 func (s *Sidecar) tellAll() {
@@ -231,7 +248,7 @@
 
 // tell sends the state; one that is lost is made up for by the next.
 func (s *Sidecar) tell(state *fleetv1.State, to string) {
-	if err := s.socket.Send(to, state); err != nil {
+	if err := s.socket.Send(to, &fleetv1.Word{Word: &fleetv1.Word_State{State: state}}); err != nil {
 		s.trail.Metrics().Add("state_send_failures_total", 1)
 	}
 }
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -43,6 +43,7 @@
 	board  *mtboard.Board
 	roster *mtroster.Roster
 
+	peers    peers
 	catalog  atomic.Pointer[mtcatalog.Catalog]
 	stopping atomic.Bool
 	closed   atomic.Bool
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -90,14 +90,25 @@
 	return list
 }
 
-// hear takes in a sidecar's state.
+// hear takes in a datagram.
 func (f *Front) hear(from string, data []byte) {
-	state := &fleetv1.State{}
-	if err := proto.Unmarshal(data, state); err != nil {
+	word := &fleetv1.Word{}
+	if err := proto.Unmarshal(data, word); err != nil {
 		f.trail.Metrics().Add("datagrams_unreadable_total", 1)
 		return
 	}
+	switch w := word.GetWord().(type) {
+	case *fleetv1.Word_State:
+		f.hearState(from, w.State)
+	case *fleetv1.Word_Notice:
+		f.board.Notice(w.Notice)
+	}
+}
+
+// hearState takes in a sidecar's state.
+func (f *Front) hearState(from string, state *fleetv1.State) {
 	f.board.Hear(state)
+	f.peers.see(state.GetPeers(), f.socket.Address())
 	if state.GetMore() {
 		hello := &fleetv1.Hello{Entry: f.site.GetName(), Target: state.GetTarget()}
 		hello.Epoch, hello.Since = f.board.Cached(state.GetTarget())
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -49,6 +49,7 @@
 	}
 	r.tries++
 	r.logSent(choice, link)
+	r.notify(choice, false)
 	// The connection ends with the caller and with the request's time: the target
 	// stops its work then.
 	stop := context.AfterFunc(ctx, link.Close)
@@ -69,6 +70,7 @@
 		return rejected{why: "the target did not run it: " + response.Status}
 	}
 	choice.Started(answer)
+	r.notify(choice, true)
 	return r.deliver(ctx, choice, link, response, answer)
 }
 
@@ -124,6 +126,16 @@
 	return broken{why: err.Error()}
 }
 
+// notify tells the other entries what the target reads, so that they neither
+// let another read it too nor miss whom to fetch it from.
+func (r *request) notify(choice *mtboard.Choice, read bool) {
+	parts, worth := choice.Reads()
+	if !worth {
+		return
+	}
+	r.front.peers.tell(r.front.socket, &fleetv1.Notice{Target: choice.Target(), Salt: choice.Salt(), Parts: parts, Read: read})
+}
+
 // logSent names the target and why it was chosen.
 func (r *request) logSent(choice *mtboard.Choice, link *mtlink.Link) {
 	r.front.trail.Say(mtkind.RequestSent, append(r.fields(),
