Count the store of cached parts as one more holder, once weights have settled

Ruled out: saving right after new weights, which fills the store's link. Change: the first reader of shared parts saves them from 4 s after the naming of weights on; entries tell each other; the store is a source like any engine; fetches begin at 64 tokens.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -149,6 +149,9 @@
 
 // Notice takes in what another entry has given an engine to read.
 func (b *Board) Notice(notice *fleetv1.Notice) {
+	if notice.GetSaved() {
+		b.holders.Keep(notice.GetSalt(), storeHolder, notice.GetParts())
+	}
 	if notice.GetRead() {
 		b.holders.Note(notice.GetSalt(), notice.GetTarget(), notice.GetParts())
 		return
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -20,6 +20,8 @@
 	fetch    string
 	matched  int64
 	fetched  int64
+	kept     int64
+	settled  bool
 	reads    int64
 	estimate time.Duration
 	cost     time.Duration
@@ -44,19 +46,22 @@
 // Fetch is the address to fetch cached parts from, or "".
 func (c *Choice) Fetch() string { return c.fetch }
 
-// Cold says that nobody is known to hold the deepest shared part.
-func (c *Choice) Cold() bool {
-	shared := c.query.shared()
-	if len(shared) == 0 {
-		return false
+// Save is the address of the store that the parts are to be sent to once they
+// are read, or "". They are kept where nobody is known to hold all shared ones,
+// nor the store; but not for weights that were named a moment ago: these make
+// every prompt cold at once, which would fill the store's link.
+func (c *Choice) Save() string {
+	tokens := c.query.sharedTokens()
+	if !c.settled || tokens < saveLeast || c.matched+c.fetched >= tokens || c.kept >= tokens {
+		return ""
 	}
-	var tokens int64
-	for _, part := range shared {
-		tokens += part.GetTokens()
-	}
-	return c.matched < tokens && c.matched+c.fetched < tokens
+	return c.query.cache
 }
 
+// saveLeast is the least number of shared tokens that are worth a place in the
+// store: below it reading takes no longer than a transfer.
+const saveLeast = 512
+
 // Cost is the estimate by which the target was chosen.
 func (c *Choice) Cost() time.Duration { return c.cost }
 
@@ -79,17 +84,12 @@
 // Reads says that the target is to read so much of the shared parts that other
 // entries should know, and which parts.
 func (c *Choice) Reads() ([]*fleetv1.Part, bool) {
-	shared := c.query.shared()
-	var tokens int64
-	for _, part := range shared {
-		tokens += part.GetTokens()
-	}
-	return shared, c.salt != "" && tokens-c.matched-c.fetched >= tellLeast
+	return c.query.shared(), c.salt != "" && c.query.sharedTokens()-c.matched-c.fetched >= tellLeast
 }
 
 // tellLeast is the least number of tokens to be read of which other entries are
 // told: below it reading them again costs little more than the telling.
-const tellLeast = 512
+const tellLeast = 256
 
 // Started notes the first byte of the answer: the prompt has been read.
 func (c *Choice) Started(answer *fleetv1.Answer) {
@@ -101,6 +101,9 @@
 	if c.salt != "" {
 		c.board.holders.Note(c.salt, c.id, c.query.ask.GetParts())
 	}
+	if c.Save() != "" {
+		c.board.holders.Keep(c.salt, storeHolder, c.query.shared())
+	}
 }
 
 // End notes how the send ended.
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -21,7 +21,7 @@
 	fetchToken = 2 * time.Microsecond
 	// fetchLeast is the least gain in tokens for which a fetch is asked: below
 	// it reading takes no longer.
-	fetchLeast = 128
+	fetchLeast = 64
 	// stepTime is what one more running request costs each of the others' tokens,
 	// over the some 70 tokens of a usual answer.
 	stepTime = 2 * time.Millisecond
@@ -35,6 +35,9 @@
 	// olderAfter on: from then on the answers count for less.
 	olderTime  = 120 * time.Millisecond
 	olderAfter = 1400 * time.Millisecond
+	// settleTime is how long after the naming of weights cold prompts go on to be
+	// the rule: each of a hundred shared prompts is asked for every few seconds.
+	settleTime = 4 * time.Second
 	// fullCost is what an engine without room in its memory or batch costs: its
 	// newest runs would be preempted and read again.
 	fullCost = 700 * time.Millisecond
@@ -48,11 +51,14 @@
 	ask      *fleetv1.Ask
 	account  *fleetv1.Account
 	excluded map[string]bool
+	// cache is the address of a store of cached parts, or "".
+	cache string
 }
 
 // NewQuery describes a request of an account for a service; account may be nil.
-func NewQuery(service *fleetv1.Service, ask *fleetv1.Ask, account *fleetv1.Account) *Query {
-	return &Query{service: service, ask: ask, account: account, excluded: map[string]bool{}}
+// cache is the address of a store of cached parts, "" where there is none.
+func NewQuery(service *fleetv1.Service, ask *fleetv1.Ask, account *fleetv1.Account, cache string) *Query {
+	return &Query{service: service, ask: ask, account: account, excluded: map[string]bool{}, cache: cache}
 }
 
 // Exclude leaves a target out of later choices.
@@ -79,6 +85,14 @@
 	return parts[:len(parts)-1]
 }
 
+func (q *Query) sharedTokens() int64 {
+	var tokens int64
+	for _, part := range q.shared() {
+		tokens += part.GetTokens()
+	}
+	return tokens
+}
+
 // salt separates cached prompts of other models, weights and isolated accounts.
 func (q *Query) salt(version int64) string {
 	salt := q.model() + "@" + itoa(version)
@@ -108,6 +122,7 @@
 				continue
 			}
 			c.salt = q.salt(c.version)
+			c.settled = time.Since(b.named[q.model()].since) > settleTime
 			if matches[c.version] == nil {
 				matches[c.version] = b.holders.Matches(c.salt, q.ask.GetParts())
 			}
@@ -158,6 +173,7 @@
 	q, r := c.query, c.record
 	own := matches[c.id]
 	c.matched = own.Tokens
+	c.kept = matches[storeHolder].Tokens
 	source, fetched := b.source(c, matches)
 	c.fetch, c.fetched = source, fetched
 	left := max(0, q.ask.GetPrompt()-own.Tokens-fetched)
@@ -191,13 +207,12 @@
 	var best mtholder.Match
 	address, local := "", false
 	for id, match := range matches {
-		r := b.records[id]
-		if id == c.id || r == nil || time.Now().Before(r.faults.out) || match.Read < own.Tokens+fetchLeast {
+		from, near := b.holder(c, id)
+		if from == "" || match.Read < own.Tokens+fetchLeast {
 			continue
 		}
-		near := r.target.GetDatacentre() == c.record.target.GetDatacentre()
 		if match.Read > best.Read || match.Read == best.Read && near && !local {
-			best, address, local = match, r.target.GetAddress(), near
+			best, address, local = match, from, near
 		}
 	}
 	if address == "" {
@@ -206,6 +221,22 @@
 	return address, best.Read - own.Tokens
 }
 
+// storeHolder stands for the store of cached parts among the holders.
+const storeHolder = "store"
+
+// holder returns the address of a holder that can be fetched from, "" where it
+// can't, and whether it is in the target's data centre.
+func (b *Board) holder(c *Choice, id string) (string, bool) {
+	if id == storeHolder {
+		return c.query.cache, false
+	}
+	r := b.records[id]
+	if id == c.id || r == nil || time.Now().Before(r.faults.out) {
+		return "", false
+	}
+	return r.target.GetAddress(), r.target.GetDatacentre() == c.record.target.GetDatacentre()
+}
+
 // others are the requests of other entries on the target, by its sidecar.
 func (r *record) others() int {
 	if !r.fresh() {
--- a/internal/placement/mtholder/holder.go
+++ b/internal/placement/mtholder/holder.go
@@ -27,6 +27,9 @@
 	believed = 3 * time.Second
 	// given is how long a part counts as about to be read.
 	given = time.Second
+	// keeping is how long a store counts as holding a part: it has several times
+	// an engine's memory.
+	keeping = 20 * time.Second
 	// told is the same where it has: a few events never come.
 	told = time.Minute
 )
@@ -56,6 +59,8 @@
 	tokens int64
 	// reading says that the target has been given the part to read.
 	reading bool
+	// kept says that the target is a store.
+	kept bool
 }
 
 // unknown tokens are as many as the part has.
@@ -72,6 +77,12 @@
 	m.all(salt, parts, held{target: target, since: time.Now(), tokens: unknown})
 }
 
+// Keep remembers that a store has been sent the parts. It drops the least
+// recently used when it is full, and does not tell.
+func (m *Memory) Keep(salt, target string, parts []*fleetv1.Part) {
+	m.all(salt, parts, held{target: target, since: time.Now(), tokens: unknown, kept: true})
+}
+
 // Read remembers that a target has been given the parts to read. Requests that
 // need them too do best to follow them there; nobody can fetch them yet.
 func (m *Memory) Read(salt, target string, parts []*fleetv1.Part) {
@@ -144,6 +155,8 @@
 	switch {
 	case h.reading:
 		return given
+	case h.kept:
+		return keeping
 	case h.tokens == unknown:
 		return believed
 	default:
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -96,10 +96,7 @@
 		d.Salt = choice.Salt()
 		d.Fetch = choice.Fetch()
 		d.Urgency = proto.Int32(mtspeech.Urgency(r.rank()))
-		if choice.Cold() {
-			store := r.front.catalog.Load().Cache(r.front.site.GetDatacentre())
-			d.Fetch, d.Save = store, store
-		}
+		d.Save = choice.Save()
 	}
 	if r.delivered != nil {
 		d.Resume = r.delivered.last
@@ -133,7 +130,7 @@
 	if !worth {
 		return
 	}
-	r.front.peers.tell(r.front.socket, &fleetv1.Notice{Target: choice.Target(), Salt: choice.Salt(), Parts: parts, Read: read})
+	r.front.peers.tell(r.front.socket, &fleetv1.Notice{Target: choice.Target(), Salt: choice.Salt(), Parts: parts, Read: read, Saved: read && choice.Save() != ""})
 }
 
 // logSent names the target and why it was chosen.
