Share what engines are given to read; long prompts and short ones in lanes

Cause: four entries chose without knowing of each other's sends for 250 ms, as long as a prompt takes to read; long prompts beside streams of short ones made pauses over the bound. An engine that went dark counted as sound for 2.4 s. Change: an entry tells the sidecar its pending tokens with each larger send, the sidecar tells the others when the sum moves by 1,500; a third of each data centre's engines is for short prompts first; a report takes 250 ms at most.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -60,6 +60,8 @@
 
 	faults faults
 	pace   pace
+	// short says that the engine is of the lane for short prompts.
+	short bool
 	// misplaced says that another program answers at the address.
 	misplaced bool
 	// version overrides the listed weights after an answer told of newer ones.
@@ -103,6 +105,7 @@
 		}
 		r.target = target
 	}
+	b.divide()
 }
 
 // Hear takes in a sidecar's word.
@@ -137,14 +140,14 @@
 	r.upto = state.GetUpto()
 }
 
-// Cached says which changes of a target's cache are known, for the next hello.
-func (b *Board) Cached(target string) (epoch int64, upto uint64) {
+// Fill adds to a hello which changes of the target's cache are known, and what
+// was given to it to read.
+func (b *Board) Fill(hello *fleetv1.Hello) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r := b.records[target]; r != nil {
-		return r.epoch, r.upto
+	if r := b.records[hello.GetTarget()]; r != nil {
+		hello.Epoch, hello.Since, hello.Pending = r.epoch, r.upto, r.pending
 	}
-	return 0, 0
 }
 
 // Notice takes in what another entry has given an engine to read.
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -71,6 +71,13 @@
 // Fetched is what the named source is believed to hold beyond, in tokens.
 func (c *Choice) Fetched() int64 { return c.fetched }
 
+// Burdens says that the target is given so much to read that the other entries
+// should know.
+func (c *Choice) Burdens() bool { return c.reads >= burdenLeast }
+
+// burdenLeast is about 20 ms of an engine's reading.
+const burdenLeast = 600
+
 // begin counts the send; the board is locked.
 func (c *Choice) begin() {
 	c.since = time.Now()
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -158,7 +158,7 @@
 	part := parts[len(parts)-1].GetId()
 	best, home := uint64(0), ""
 	for id, r := range b.records {
-		if r.target.GetService() != q.service.GetName() || r.target.GetDatacentre() != b.datacentre || !r.usable() {
+		if r.target.GetService() != q.service.GetName() || r.target.GetDatacentre() != b.datacentre || !r.usable() || r.astray(q) {
 			continue
 		}
 		if score := xxh3.HashString(part + "/" + id); home == "" || score > best {
@@ -178,7 +178,7 @@
 	c.fetch, c.fetched = source, fetched
 	left := max(0, q.ask.GetPrompt()-own.Tokens-fetched)
 	c.reads = left
-	cost := time.Duration(r.pending+left)*tokenTime + firstTime
+	cost := time.Duration(r.queued()+left)*tokenTime + firstTime
 	if fetched > 0 {
 		cost += fetchBase + time.Duration(fetched)*fetchToken
 	}
@@ -194,6 +194,9 @@
 	if b.older(q.model(), c.version) {
 		cost += olderTime
 	}
+	if r.astray(q) {
+		cost += laneTime
+	}
 	if r.full(q) {
 		cost += fullCost
 	}
@@ -246,13 +249,21 @@
 	return max(0, int(report.GetRunning()+report.GetWaiting())-r.running)
 }
 
+// queued are the prompt tokens that wait to be read on the target.
+func (r *record) queued() int64 {
+	if !r.fresh() {
+		return r.pending
+	}
+	return r.pending + r.state.GetPending()
+}
+
 // full says that the request would not fit beside what runs.
 func (r *record) full(q *Query) bool {
 	if !r.fresh() || r.state.GetReport().GetTotal() == 0 {
 		return false
 	}
 	report := r.state.GetReport()
-	need := float64(report.GetUsed() + r.pending + q.ask.GetPrompt() + q.ask.GetOutput())
+	need := float64(report.GetUsed() + r.queued() + q.ask.GetPrompt() + q.ask.GetOutput())
 	if need > fullShare*float64(report.GetTotal()) {
 		return true
 	}
--- /dev/null
+++ b/internal/placement/mtboard/lane.go
@@ -0,0 +1,53 @@
+package mtboard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Long prompts among streams of short ones: while an engine reads a long prompt,
+// piece by piece, every other stream on it makes a token only after each piece,
+// and four tokens an event make a pause that callers see. So each data centre's
+// engines are divided into lanes, by a hash on which all entries agree; a
+// request leaves its lane where that is faster by laneTime.
+const (
+	// longPrompt is the length from which on a prompt belongs to the long lane:
+	// two of the pieces in which engines read.
+	longPrompt = 2048
+	// shortShare is the part of the engines for short prompts: a third of the
+	// engines' time at today's mix of both users.
+	shortShare = 1.0 / 3
+	// laneTime is what the other lane costs: the pauses that a long prompt of
+	// 9,000 tokens brings to the streams beside it, spread over their length.
+	laneTime = 120 * time.Millisecond
+)
+
+// divide assigns the engines of each service and data centre to lanes.
+func (b *Board) divide() {
+	groups := map[[2]string][]*record{}
+	for _, r := range b.records {
+		k := [2]string{r.target.GetService(), r.target.GetDatacentre()}
+		groups[k] = append(groups[k], r)
+	}
+	for _, group := range groups {
+		slices.SortFunc(group, func(x, y *record) int {
+			a, b := xxh3.HashString(x.target.GetId()), xxh3.HashString(y.target.GetId())
+			if a < b {
+				return -1
+			}
+			return 1
+		})
+		short := int(float64(len(group))*shortShare + 0.5)
+		for i, r := range group {
+			r.short = i < short
+		}
+	}
+}
+
+// long says that the request belongs to the long lane.
+func (q *Query) long() bool { return q.ask.GetPrompt() >= longPrompt }
+
+// astray says that the target is of the other lane.
+func (r *record) astray(q *Query) bool { return r.short == q.long() }
--- a/internal/relay/mtbeside/engine.go
+++ b/internal/relay/mtbeside/engine.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
@@ -17,6 +18,10 @@
 // maxReport bounds an engine's report, which lists its runs.
 const maxReport = 1 << 20
 
+// reportTime bounds the call for a report, which an engine answers from memory:
+// one that takes longer is no better for callers than one that is down.
+const reportTime = 250 * time.Millisecond
+
 // engine calls the engine on the same instance over one connection.
 type engine struct {
 	address string
@@ -29,6 +34,8 @@
 
 // report reads what the engine says of itself.
 func (e *engine) report(ctx context.Context) (*fleetv1.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
 	status, body, err := e.call(ctx, http.MethodGet, mtspeech.PathReport, nil, nil)
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -54,7 +54,7 @@
 
 	mu      sync.Mutex
 	plan    *mtrollout.Plan
-	entries map[string]time.Time
+	entries map[string]*entry
 	held    *mtheld.Log
 	// target is the engine's id as the entries know it.
 	target string
@@ -66,6 +66,8 @@
 	// telling says that the entries were told of an order to come, since told.
 	telling bool
 	told    time.Time
+	// spread are the pending tokens that the entries were told last.
+	spread int64
 }
 
 // New returns a sidecar that speaks through a socket.
@@ -77,7 +79,7 @@
 		trail:   trail,
 		engine:  newEngine(site.GetTarget(), mtlink.Dialer(callTime)),
 		plan:    mtrollout.New(),
-		entries: map[string]time.Time{},
+		entries: map[string]*entry{},
 		held:    mtheld.New(),
 		report:  &fleetv1.Report{},
 		failed:  lostAfter,
@@ -128,7 +130,12 @@
 		return
 	}
 	s.mu.Lock()
-	s.entries[from] = time.Now()
+	e := s.entries[from]
+	if e == nil {
+		e = &entry{}
+		s.entries[from] = e
+	}
+	e.last, e.pending = time.Now(), hello.GetPending()
 	s.target = hello.GetTarget()
 	if hello.GetTotal() > 0 {
 		s.place, s.total = hello.GetPlace(), hello.GetTotal()
@@ -136,10 +143,14 @@
 	for _, weights := range hello.GetWeights() {
 		s.name(weights, "entry "+hello.GetEntry())
 	}
-	state := s.state()
+	state := s.state(from)
 	s.held.Fill(state, hello.GetEpoch(), hello.GetSince())
+	shifted := s.shifted()
 	s.mu.Unlock()
 	s.tell(state, from)
+	if shifted {
+		s.tellAll()
+	}
 }
 
 // name takes in named weights; the sidecar is locked.
@@ -186,8 +197,8 @@
 
 // live counts the entries heard of late and forgets the others.
 func (s *Sidecar) live() int {
-	for from, last := range s.entries {
-		if time.Since(last) > entryTime {
+	for from, e := range s.entries {
+		if time.Since(e.last) > entryTime {
 			delete(s.entries, from)
 		}
 	}
@@ -196,7 +207,7 @@
 
 // state is what the entries are told; the sidecar is locked. A state without
 // changes of the cache says so by its numbers.
-func (s *Sidecar) state() *fleetv1.State {
+func (s *Sidecar) state(to string) *fleetv1.State {
 	s.number++
 	return &fleetv1.State{
 		Target:   s.target,
@@ -208,6 +219,7 @@
 		Named:    s.plan.Named(),
 		Epoch:    s.held.Epoch(),
 		Peers:    s.peers(),
+		Pending:  s.pending() - s.entries[to].given(),
 	}
 }
 
@@ -235,17 +247,51 @@
 		s.mu.Unlock()
 		return
 	}
-	state := s.state()
-	list := make([]string, 0, len(s.entries))
+	s.spread = s.pending()
+	states := map[string]*fleetv1.State{}
 	for from := range s.entries {
-		list = append(list, from)
+		states[from] = s.state(from)
 	}
 	s.mu.Unlock()
-	for _, from := range list {
+	for from, state := range states {
 		s.tell(state, from)
 	}
 }
 
+// entry is what the sidecar knows of one entry.
+type entry struct {
+	last    time.Time
+	pending int64
+}
+
+// given are the tokens that the entry has given the engine to read.
+func (e *entry) given() int64 {
+	if e == nil {
+		return 0
+	}
+	return e.pending
+}
+
+// pending are the tokens that all entries have given the engine to read.
+func (s *Sidecar) pending() int64 {
+	var total int64
+	for _, e := range s.entries {
+		total += e.pending
+	}
+	return total
+}
+
+// shiftLeast is the change in pending tokens of which entries are told at once:
+// about 50 ms of an engine's reading, which changes a choice.
+const shiftLeast = 1500
+
+// shifted says that the pending tokens have changed much since the entries were
+// told.
+func (s *Sidecar) shifted() bool {
+	change := s.pending() - s.spread
+	return change >= shiftLeast || change <= -shiftLeast
+}
+
 // tell sends the state; one that is lost is made up for by the next.
 func (s *Sidecar) tell(state *fleetv1.State, to string) {
 	if err := s.socket.Send(to, &fleetv1.Word{Word: &fleetv1.Word_State{State: state}}); err != nil {
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -53,7 +53,7 @@
 				Place:   uint32(place),
 				Total:   uint32(len(engines)),
 			}
-			hello.Epoch, hello.Since = f.board.Cached(engine.GetId())
+			f.board.Fill(hello)
 			f.hello(mtbeside.Address(host(engine.GetAddress()), f.site), hello)
 			count++
 		}
@@ -61,6 +61,14 @@
 	return count
 }
 
+// burden tells a sidecar that the entry has given its engine much to read, or
+// that it was read; the other entries hear of it from the sidecar.
+func (f *Front) burden(target, address string) {
+	hello := &fleetv1.Hello{Entry: f.site.GetName(), Target: target}
+	f.board.Fill(hello)
+	f.hello(mtbeside.Address(host(address), f.site), hello)
+}
+
 // hello sends one; a lost one is made up for by the next.
 func (f *Front) hello(to string, hello *fleetv1.Hello) {
 	if err := f.socket.Send(to, hello); err != nil {
@@ -111,7 +119,7 @@
 	f.peers.see(state.GetPeers(), f.socket.Address())
 	if state.GetMore() {
 		hello := &fleetv1.Hello{Entry: f.site.GetName(), Target: state.GetTarget()}
-		hello.Epoch, hello.Since = f.board.Cached(state.GetTarget())
+		f.board.Fill(hello)
 		f.hello(from, hello)
 	}
 	// The store may be out of this entry's reach, and not of another's.
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -126,6 +126,9 @@
 // notify tells the other entries what the target reads, so that they neither
 // let another read it too nor miss whom to fetch it from.
 func (r *request) notify(choice *mtboard.Choice, read bool) {
+	if choice.Burdens() {
+		r.front.burden(choice.Target(), choice.Address())
+	}
 	parts, worth := choice.Reads()
 	if !worth {
 		return
