Let an engine that waits for weights keep its turn

The age of old weights was counted from the newest naming, so the guard at the entry did not see it. Ruled out: lost orders, the cut sidecar.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -33,10 +33,40 @@
 	named   map[string]naming
 }
 
-// naming are a model's newest weights and when this process heard of them.
+// naming are a model's newest weights, and when this process heard of each of
+// the last versions.
 type naming struct {
 	weights *fleetv1.Weights
-	since   time.Time
+	heard   []version
+}
+
+type version struct {
+	number int64
+	since  time.Time
+}
+
+// namings bounds the versions that are remembered: weights are named every few
+// seconds at most, and are outdated within ten.
+const namings = 16
+
+// behind is how long it is that weights newer than a version were named; 0 if
+// there are none.
+func (n naming) behind(number int64) time.Duration {
+	for _, v := range n.heard {
+		if v.number > number {
+			return time.Since(v.since)
+		}
+	}
+	return 0
+}
+
+// settled is how long no new weights were named; the whole uptime where none
+// were.
+func (n naming) settled() time.Duration {
+	if len(n.heard) == 0 {
+		return time.Since(time.Time{})
+	}
+	return time.Since(n.heard[len(n.heard)-1].since)
 }
 
 // record is what the entry knows of one target.
@@ -70,7 +100,7 @@
 
 // oldShare is the part of the time allowed for older weights in which requests
 // may still be sent to them: what is sent may wait before it begins.
-const oldShare = 0.6
+const oldShare = 0.8
 
 // New returns an empty board for an entry of a data centre; allowed is the time
 // after the naming of new weights in which a run may begin on older ones.
@@ -170,7 +200,8 @@
 	if old.weights.GetVersion() >= weights.GetVersion() {
 		return false
 	}
-	b.named[weights.GetModel()] = naming{weights: weights, since: time.Now()}
+	heard := append(old.heard, version{weights.GetVersion(), time.Now()})
+	b.named[weights.GetModel()] = naming{weights: weights, heard: heard[max(0, len(heard)-namings):]}
 	return true
 }
 
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -122,7 +122,7 @@
 				continue
 			}
 			c.salt = q.salt(c.version)
-			c.settled = time.Since(b.named[q.model()].since) > settleTime
+			c.settled = b.named[q.model()].settled() > settleTime
 			if matches[c.version] == nil {
 				matches[c.version] = b.holders.Matches(c.salt, q.ask.GetParts())
 			}
@@ -274,8 +274,7 @@
 // outdated says that the target's weights are too old for a run to begin on:
 // others have the newest, and the time allowed for older ones is nearly over.
 func (b *Board) outdated(model string, version int64, newest bool) bool {
-	n := b.named[model]
-	return newest && version < n.weights.GetVersion() && time.Since(n.since) > b.oldest
+	return newest && b.named[model].behind(version) > b.oldest
 }
 
 // anyNewest says that some usable target of the service has the newest weights.
@@ -291,8 +290,7 @@
 
 // older says that newer weights have been named for a while.
 func (b *Board) older(model string, version int64) bool {
-	n := b.named[model]
-	return version < n.weights.GetVersion() && time.Since(n.since) > olderAfter
+	return b.named[model].behind(version) > olderAfter
 }
 
 const (
--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -36,8 +36,9 @@
 
 // Plan is for one engine. It is not safe for concurrent use.
 type Plan struct {
-	named   map[string]turn
-	sent    *fleetv1.Swap
+	named map[string]turn
+	// waits says that the engine does not serve the named weights yet.
+	waits   map[string]bool
 	blocked time.Time
 }
 
@@ -48,7 +49,7 @@
 }
 
 // New returns a plan without weights.
-func New() *Plan { return &Plan{named: map[string]turn{}} }
+func New() *Plan { return &Plan{named: map[string]turn{}, waits: map[string]bool{}} }
 
 // Name takes in a model's newest weights and the engine's place among total
 // engines. It reports whether they are news.
@@ -57,7 +58,14 @@
 	if old.weights.GetVersion() >= weights.GetVersion() {
 		return false
 	}
-	p.named[weights.GetModel()] = turn{weights: weights, due: time.Now().Add(leadTime + offset(place, total))}
+	due := time.Now().Add(leadTime + offset(place, total))
+	if p.waits[weights.GetModel()] && old.due.Before(due) {
+		// Weights that follow each other quickly must not put an engine off for
+		// ever: one that still waits for older ones keeps its turn.
+		due = old.due
+	}
+	p.waits[weights.GetModel()] = true
+	p.named[weights.GetModel()] = turn{weights: weights, due: due}
 	return true
 }
 
@@ -67,6 +75,13 @@
 	return time.Duration(place/size) * turnTime
 }
 
+// See takes in which weights the engine serves.
+func (p *Plan) See(report *fleetv1.Report) {
+	for _, m := range report.GetModels() {
+		p.waits[m.GetModel()] = m.GetVersion() < p.named[m.GetModel()].weights.GetVersion()
+	}
+}
+
 // Named lists the newest weights of all models.
 func (p *Plan) Named() []*fleetv1.Weights {
 	var list []*fleetv1.Weights
@@ -100,7 +115,6 @@
 func (p *Plan) Next(report *fleetv1.Report) *fleetv1.Swap {
 	t, ok := p.behind(report)
 	if !ok {
-		p.sent = nil
 		return nil
 	}
 	now := time.Now()
@@ -110,9 +124,8 @@
 	}
 	// An order without an answer may still be carried out. It names the count of
 	// orders before it, so that of it and its repeat only one can be.
-	p.sent = &fleetv1.Swap{Weights: t.weights, Fence: t.weights.GetRevision(), Expected: report.GetOrders()}
 	p.blocked = now.Add(againTime)
-	return p.sent
+	return &fleetv1.Swap{Weights: t.weights, Fence: t.weights.GetRevision(), Expected: report.GetOrders()}
 }
 
 // Accepted notes that the engine took the order: its report shows the rest.
