Give entry and sidecar their network, so that tests can pause and cut it

Cause: both dialled the instance's network themselves. Change: mtnet holds the probing network, mtpulse's socket is an interface.

--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -18,9 +18,9 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/observe/mttrail"
 	"github.com/mustardtide/mustardtide/internal/prefix/mtheld"
-	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 	"github.com/mustardtide/mustardtide/internal/relay/mtrollout"
+	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/platform/mtobjects"
 )
 
@@ -47,7 +47,7 @@
 // Sidecar is the process's state.
 type Sidecar struct {
 	site   *fleetv1.Site
-	socket *mtpulse.Socket
+	socket mtpulse.Socket
 	store  *mtobjects.Client
 	trail  *mttrail.Trail
 	engine *engine
@@ -71,13 +71,13 @@
 }
 
 // New returns a sidecar that speaks through a socket.
-func New(site *fleetv1.Site, socket *mtpulse.Socket, store *mtobjects.Client, trail *mttrail.Trail) *Sidecar {
+func New(site *fleetv1.Site, network *mtnet.Net, socket mtpulse.Socket, trail *mttrail.Trail) *Sidecar {
 	return &Sidecar{
 		site:    site,
 		socket:  socket,
-		store:   store,
+		store:   mtobjects.New(site.GetStore(), network.Outside()),
 		trail:   trail,
-		engine:  newEngine(site.GetTarget(), mtlink.Dialer(callTime)),
+		engine:  newEngine(site.GetTarget(), network.Dial),
 		plan:    mtrollout.New(),
 		entries: map[string]*entry{},
 		held:    mtheld.New(),
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -21,14 +21,12 @@
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
+	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
 	"github.com/mustardtide/mustardtide/platform/mtobjects"
 )
 
 const (
-	// dialTime bounds a new connection to a target: a hundred times the way
-	// between data centres; a target without power does not answer at all.
-	dialTime = 300 * time.Millisecond
 	// sweepTime is how often idle connections and missing targets are looked at.
 	sweepTime = 200 * time.Millisecond
 )
@@ -37,7 +35,7 @@
 type Front struct {
 	site   *fleetv1.Site
 	store  *mtobjects.Client
-	socket *mtpulse.Socket
+	socket mtpulse.Socket
 	trail  *mttrail.Trail
 	pool   *mtlink.Pool
 	board  *mtboard.Board
@@ -54,11 +52,12 @@
 	allowances map[string]*mtallowance.Allowance
 }
 
-// New returns an entry that knows nothing yet.
-func New(site *fleetv1.Site, socket *mtpulse.Socket, store *mtobjects.Client, trail *mttrail.Trail) *Front {
+// New returns an entry that knows nothing yet, on a network whose dials are
+// bounded.
+func New(site *fleetv1.Site, network *mtnet.Net, socket mtpulse.Socket, trail *mttrail.Trail) *Front {
 	f := &Front{
 		site:       site,
-		store:      store,
+		store:      mtobjects.New(site.GetStore(), network.Outside()),
 		socket:     socket,
 		trail:      trail,
 		board:      mtboard.New(site.GetDatacentre(), site.GetBounds().GetWeights().AsDuration()),
@@ -67,7 +66,7 @@
 		allowances: map[string]*mtallowance.Allowance{},
 	}
 	dials := trail.Metrics().Counter("target_connections_total")
-	f.pool = mtlink.NewPool(mtlink.Dialer(dialTime), func() { dials.Inc(1) })
+	f.pool = mtlink.NewPool(network.Dial, func() { dials.Inc(1) })
 	return f
 }
 
--- a/internal/relay/mtfront/peers.go
+++ b/internal/relay/mtfront/peers.go
@@ -53,7 +53,7 @@
 }
 
 // tell sends a notice to all; one that is lost costs a part read twice.
-func (p *peers) tell(socket *mtpulse.Socket, notice *fleetv1.Notice) {
+func (p *peers) tell(socket mtpulse.Socket, notice *fleetv1.Notice) {
 	word := &fleetv1.Word{Word: &fleetv1.Word_Notice{Notice: notice}}
 	for _, address := range p.list() {
 		_ = socket.Send(address, word)
--- a/internal/relay/mtpulse/socket.go
+++ b/internal/relay/mtpulse/socket.go
@@ -22,12 +22,23 @@
 const pollTime = 500 * time.Millisecond
 
 // Socket is one process's. It is safe for concurrent use.
-type Socket struct {
+type Socket interface {
+	// Address is where the socket is bound.
+	Address() string
+	// Send sends one message. A failure counts as a loss, which the next message
+	// makes up for.
+	Send(to string, message proto.Message) error
+	// Serve hands each datagram and its sender to take until ctx ends.
+	Serve(ctx context.Context, take func(from string, data []byte)) error
+}
+
+// udp is a socket of the instance.
+type udp struct {
 	conn *net.UDPConn
 }
 
 // Open binds to an IP:PORT.
-func Open(address string) (*Socket, error) {
+func Open(address string) (Socket, error) {
 	local, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, trace.BadParameter("%q is no IP:PORT", address)
@@ -36,32 +47,39 @@
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	return &Socket{conn: conn}, nil
+	return &udp{conn: conn}, nil
 }
 
-// Address is where the socket is bound.
-func (s *Socket) Address() string { return s.conn.LocalAddr().String() }
+func (s *udp) Address() string { return s.conn.LocalAddr().String() }
 
-// Send sends one message. A failure counts as a loss, which the next message
-// makes up for.
-func (s *Socket) Send(to string, message proto.Message) error {
+// Send encodes and sends one message.
+func (s *udp) Send(to string, message proto.Message) error {
 	address, err := netip.ParseAddrPort(to)
 	if err != nil {
 		return trace.BadParameter("%q is no IP:PORT", to)
 	}
-	data, err := proto.Marshal(message)
+	data, err := Encode(message)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if len(data) > maxSize {
-		return trace.LimitExceeded("a message of %d bytes is too long", len(data))
-	}
 	_, err = s.conn.WriteToUDPAddrPort(data, address)
 	return trace.Wrap(err)
 }
 
-// Serve hands each datagram and its sender to take until ctx ends.
-func (s *Socket) Serve(ctx context.Context, take func(from string, data []byte)) error {
+// Encode returns a message's datagram, and an error where it is too long.
+func Encode(message proto.Message) ([]byte, error) {
+	data, err := proto.Marshal(message)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if len(data) > maxSize {
+		return nil, trace.LimitExceeded("a message of %d bytes is too long", len(data))
+	}
+	return data, nil
+}
+
+// Serve reads datagrams.
+func (s *udp) Serve(ctx context.Context, take func(from string, data []byte)) error {
 	defer func() { _ = s.conn.Close() }()
 	buffer := make([]byte, maxSize+1)
 	for ctx.Err() == nil {
--- a/internal/role/mtfleet/entry.go
+++ b/internal/role/mtfleet/entry.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	front := mtfront.New(d.site, socket, d.store(), d.trail)
+	front := mtfront.New(d.site, d.network, socket, d.trail)
 	public, err := d.listen(d.site.GetPublic(), front)
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/role/mtfleet/run.go
+++ b/internal/role/mtfleet/run.go
@@ -25,10 +25,9 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/observe/mtsink"
 	"github.com/mustardtide/mustardtide/internal/observe/mttrail"
-	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
+	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
 	"github.com/mustardtide/mustardtide/platform/mtboot"
-	"github.com/mustardtide/mustardtide/platform/mtobjects"
 )
 
 const (
@@ -37,8 +36,9 @@
 	memoryShare = 0.65
 	// metricsPort is where metrics are served on every instance.
 	metricsPort = 9102
-	// storeDial bounds a connection to the store, which answers in milliseconds.
-	storeDial = time.Second
+	// dialTime bounds a new connection: a hundred times the way between data
+	// centres; an instance without power does not answer at all.
+	dialTime = 300 * time.Millisecond
 	// closeTime is left at the end of the grace time to close connections.
 	closeTime = 1200 * time.Millisecond
 )
@@ -48,10 +48,11 @@
 
 // daemon is what both roles share.
 type daemon struct {
-	path  string
-	site  *fleetv1.Site
-	sink  *mtsink.Sink
-	trail *mttrail.Trail
+	path    string
+	site    *fleetv1.Site
+	sink    *mtsink.Sink
+	trail   *mttrail.Trail
+	network *mtnet.Net
 }
 
 // open reads the settings and opens the log.
@@ -66,7 +67,7 @@
 	}
 	sink := mtsink.New(os.Stdout)
 	klog.SetLogger(klog.NewStdLogger(quiet{}))
-	return &daemon{path: path, site: site, sink: sink, trail: mttrail.New(site.GetName(), sink)}, nil
+	return &daemon{path: path, site: site, sink: sink, trail: mttrail.New(site.GetName(), sink), network: mtnet.Probing(dialTime)}, nil
 }
 
 // quiet drops the framework's own lines: start and stop are events of ours.
@@ -74,16 +75,6 @@
 
 func (quiet) Write(p []byte) (int, error) { return len(p), nil }
 
-// store returns the client of the platform's store.
-func (d *daemon) store() *mtobjects.Client {
-	dial := mtlink.Dialer(storeDial)
-	transport := &http.Transport{
-		DialContext:        func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
-		DisableCompression: true,
-	}
-	return mtobjects.New(d.site.GetStore(), transport)
-}
-
 // inner is an IP:PORT of the instance for the system's own use.
 func (d *daemon) inner(offset uint32) string {
 	return net.JoinHostPort(d.site.GetAddress(), strconv.Itoa(int(d.site.GetFirstport()+offset)))
@@ -96,7 +87,7 @@
 }
 
 func (d *daemon) listen(address string, handler http.Handler) (*mtserver.Server, error) {
-	listener, err := mtlink.Listen(context.Background(), address)
+	listener, err := d.network.Listen(address)
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on %s", address)
 	}
--- a/internal/role/mtfleet/sidecar.go
+++ b/internal/role/mtfleet/sidecar.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	sidecar := mtbeside.New(d.site, socket, d.store(), d.trail)
+	sidecar := mtbeside.New(d.site, d.network, socket, d.trail)
 	metrics, err := d.metrics()
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/role/mtnet/net.go
+++ b/internal/role/mtnet/net.go
@@ -63,6 +63,11 @@
 // ServerTLS is the internal listeners' TLS configuration, or nil.
 func (n *Net) ServerTLS() *tls.Config { return n.server }
 
+// Dial opens a connection.
+func (n *Net) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return n.dial(ctx, "tcp", address)
+}
+
 // Scheme is the URL scheme of the internal listeners.
 func (n *Net) Scheme() string {
 	if n.client != nil {
--- a/internal/relay/mtlink/dial.go
+++ b/internal/role/mtnet/probe.go
@@ -1,4 +1,4 @@
-package mtlink
+package mtnet
 
 import (
 	"context"
@@ -21,19 +21,17 @@
 	probes     = 3
 )
 
-// Dialer returns a function that opens connections within a bound and finds
-// those that went silent.
-func Dialer(bound time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
+// Probing is the instance's own network, on which dials are bounded and
+// connections that went silent are found.
+func Probing(bound time.Duration) *Net {
 	dialer := &net.Dialer{Timeout: bound, KeepAliveConfig: probing(), Control: guard}
-	return func(ctx context.Context, address string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp", address)
-	}
-}
-
-// Listen opens a listener whose connections are probed likewise.
-func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: probing()}
-	return config.Listen(ctx, "tcp", address)
+	return &Net{
+		listen: func(address string) (net.Listener, error) {
+			return config.Listen(context.Background(), "tcp", address)
+		},
+		dial: dialer.DialContext,
+	}
 }
 
 func probing() net.KeepAliveConfig {
