--- /dev/null
+++ b/internal/standin/mtpost/post.go
@@ -0,0 +1,91 @@
+// Package mtpost carries datagrams in memory, for tests under a paused clock.
+package mtpost
+
+import (
+	"context"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
+)
+
+// backlog bounds the datagrams that wait at a socket; more are lost, as on a
+// real network.
+const backlog = 256
+
+// Post connects sockets by their addresses.
+type Post struct {
+	mu      sync.Mutex
+	sockets map[string]*socket
+	cut     map[string]bool
+}
+
+// New returns a network without sockets.
+func New() *Post { return &Post{sockets: map[string]*socket{}, cut: map[string]bool{}} }
+
+// Cut lets all datagrams to and from an address be lost, or none any more.
+func (p *Post) Cut(address string, cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[address] = cut
+}
+
+// Open binds an address.
+func (p *Post) Open(address string) mtpulse.Socket {
+	s := &socket{post: p, address: address, waiting: make(chan datagram, backlog)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sockets[address] = s
+	return s
+}
+
+type datagram struct {
+	from string
+	data []byte
+}
+
+type socket struct {
+	post    *Post
+	address string
+	waiting chan datagram
+}
+
+func (s *socket) Address() string { return s.address }
+
+func (s *socket) Send(to string, message proto.Message) error {
+	data, err := mtpulse.Encode(message)
+	if err != nil {
+		return err
+	}
+	s.post.mu.Lock()
+	receiver := s.post.sockets[to]
+	lost := receiver == nil || s.post.cut[to] || s.post.cut[s.address]
+	s.post.mu.Unlock()
+	if lost {
+		return nil
+	}
+	select {
+	case receiver.waiting <- datagram{s.address, data}:
+	default:
+	}
+	return nil
+}
+
+func (s *socket) Serve(ctx context.Context, take func(from string, data []byte)) error {
+	defer func() {
+		s.post.mu.Lock()
+		defer s.post.mu.Unlock()
+		if s.post.sockets[s.address] == s {
+			delete(s.post.sockets, s.address)
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case d := <-s.waiting:
+			take(d.from, d.data)
+		}
+	}
+}
