Test the modules of the platform's path; mend the cache log for readers in step

Cause: a property test of the cache log found an entry that keeps parts for ever: events lost while it knew the very last change, under the same epoch of the engine. It also showed that allowances counted from the process's start, which a paused clock moves. Change: the log has an epoch of its own; allowances count from their making.

--- a/internal/admission/mtallowance/allowance.go
+++ b/internal/admission/mtallowance/allowance.go
@@ -30,6 +30,8 @@
 	ratio  float64
 	slack  float64
 	bucket time.Duration
+	// begun is monotonic: a step of the wall clock moves no bucket.
+	begun time.Time
 
 	mu       sync.Mutex
 	requests [buckets + 1]float64
@@ -40,7 +42,7 @@
 // New returns an allowance for a fleet's bound: ratio of the requests and slack
 // in each window.
 func New(ratio, slack float64, window time.Duration) *Allowance {
-	return &Allowance{ratio: ratio, slack: slack, bucket: max(window/buckets, time.Millisecond)}
+	return &Allowance{ratio: ratio, slack: slack, bucket: max(window/buckets, time.Millisecond), begun: time.Now()}
 }
 
 // Request counts a caller's request.
@@ -72,10 +74,10 @@
 }
 
 // advance clears the buckets that have left the window and returns the present
-// one. time.Now is monotonic here, so a step of the wall clock moves nothing.
+// one.
 func (a *Allowance) advance() int {
 	const ring = buckets + 1
-	now := int64(time.Since(epoch) / a.bucket)
+	now := int64(time.Since(a.begun) / a.bucket)
 	for n := max(a.current+1, now-ring+1); n <= now; n++ {
 		a.requests[n%ring] = 0
 		a.repeats[n%ring] = 0
@@ -84,9 +86,6 @@
 	return int(a.current % ring)
 }
 
-// epoch is the start of the process; durations since it are monotonic.
-var epoch = time.Now()
-
 func sum(list [buckets + 1]float64) float64 {
 	var total float64
 	for _, n := range list {
--- /dev/null
+++ b/internal/admission/mtallowance/allowance_test.go
@@ -0,0 +1,73 @@
+package mtallowance_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/mustardtide/mustardtide/internal/admission/mtallowance"
+)
+
+// A service fails everything while callers press, in bursts and pauses. In no
+// window may all entries together send more again than the fleet's bound.
+func TestNoWindowGoesOverTheBound(t *testing.T) {
+	const entries, ratio, slack, window = 4, 0.2, 50.0, 10 * time.Second
+	rapid.Check(t, func(rt *rapid.T) {
+		bursts := rapid.SliceOfN(rapid.IntRange(0, 60), 1, 80).Draw(rt, "bursts")
+		over := 0
+		synctest.Test(t, func(*testing.T) {
+			var fleet []*mtallowance.Allowance
+			for range entries {
+				fleet = append(fleet, mtallowance.New(ratio, slack, window))
+			}
+			type moment struct{ requests, repeats int }
+			var past []moment
+			for _, burst := range bursts {
+				var m moment
+				for i := range burst {
+					a := fleet[i%entries]
+					a.Request()
+					m.requests++
+					if a.Take(entries) {
+						m.repeats++
+					}
+				}
+				past = append(past, m)
+				// Forty moments are a window.
+				var requests, repeats int
+				for _, p := range past[max(0, len(past)-40):] {
+					requests += p.requests
+					repeats += p.repeats
+				}
+				if float64(repeats) > ratio*float64(requests)+slack {
+					over++
+				}
+				time.Sleep(window / 40)
+			}
+		})
+		if over > 0 {
+			rt.Fatalf("%d windows over the bound", over)
+		}
+	})
+}
+
+// A quiet service still has some repeats, and spends them once in a window.
+func TestSlack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a := mtallowance.New(0.2, 40, 10*time.Second)
+		taken := 0
+		for range 100 {
+			if a.Take(4) {
+				taken++
+			}
+		}
+		g.Expect(taken).To(Equal(7))
+		time.Sleep(12 * time.Second)
+		g.Expect(a.Take(4)).To(BeTrue())
+		g.Expect(a.Left(4)).To(BeNumerically("~", 6, 0.01))
+	})
+}
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -200,8 +200,10 @@
 	if old.weights.GetVersion() >= weights.GetVersion() {
 		return false
 	}
-	heard := append(old.heard, version{weights.GetVersion(), time.Now()})
-	b.named[weights.GetModel()] = naming{weights: weights, heard: heard[max(0, len(heard)-namings):]}
+	old.weights = weights
+	old.heard = append(old.heard, version{weights.GetVersion(), time.Now()})
+	old.heard = old.heard[max(0, len(old.heard)-namings):]
+	b.named[weights.GetModel()] = old
 	return true
 }
 
--- /dev/null
+++ b/internal/placement/mtboard/board_test.go
@@ -0,0 +1,203 @@
+package mtboard_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
+)
+
+const allowed = 8 * time.Second
+
+var pool = &fleetv1.Service{Name: "pool", Model: "m", Slots: 8}
+
+// board is one with some engines in two data centres.
+func board(engines int) *mtboard.Board {
+	b := mtboard.New("north", allowed)
+	list := map[string]*fleetv1.Target{}
+	for i := range engines {
+		id := fmt.Sprintf("e%d", i)
+		datacentre := "north"
+		if i%2 == 1 {
+			datacentre = "south"
+		}
+		list[id] = &fleetv1.Target{
+			Id: id, Service: "pool", Address: fmt.Sprintf("10.0.0.%d:80", i), Datacentre: datacentre, Slots: 8,
+			Models: []*fleetv1.Weights{{Model: "m", Version: 1}},
+		}
+	}
+	b.List(list)
+	b.Name(&fleetv1.Weights{Model: "m", Version: 1, Revision: 1})
+	return b
+}
+
+func query(prompt int64, parts ...string) *mtboard.Query {
+	ask := &fleetv1.Ask{Model: "m", Prompt: prompt, Output: 20}
+	for _, part := range parts {
+		ask.Parts = append(ask.Parts, &fleetv1.Part{Id: part, Tokens: prompt / int64(len(parts))})
+	}
+	return mtboard.NewQuery(pool, ask, nil, "store:1")
+}
+
+func state(target string, version int64) *fleetv1.State {
+	return &fleetv1.State{Target: target, Answers: true, Report: &fleetv1.Report{
+		Models: []*fleetv1.Weights{{Model: "m", Version: version}}, Total: 70000, Born: 1,
+	}}
+}
+
+// Prompts that share their parts go to one home, and one that is sent elsewhere
+// fetches from there.
+func TestSharedPromptsHaveAHome(t *testing.T) {
+	g := NewWithT(t)
+	b := board(8)
+	first := b.Choose(query(6000, "rules", "dossier", "own1"))
+	first.Started(&fleetv1.Answer{})
+	first.End(mtboard.Good{})
+	second := b.Choose(query(6000, "rules", "dossier", "own2"))
+	g.Expect(second.Target()).To(Equal(first.Target()))
+	g.Expect(second.Matched()).To(Equal(int64(4000)))
+	elsewhere := query(6000, "rules", "dossier", "own3")
+	elsewhere.Exclude(first.Target())
+	third := b.Choose(elsewhere)
+	g.Expect(third.Target()).NotTo(Equal(first.Target()))
+	g.Expect(third.Fetch()).To(Equal(first.Address()))
+}
+
+// A burst of one hot prompt: beyond a point its requests go to other engines and
+// fetch what is shared, so that none waits behind ten others.
+func TestHotPromptSpreads(t *testing.T) {
+	g := NewWithT(t)
+	b := board(8)
+	warm := b.Choose(query(9000, "rules", "dossier", "own"))
+	warm.Started(&fleetv1.Answer{})
+	warm.End(mtboard.Good{})
+	used := map[string]int{}
+	for i := range 24 {
+		used[b.Choose(query(9000, "rules", "dossier", fmt.Sprint("own", i))).Target()]++
+	}
+	g.Expect(len(used)).To(BeNumerically(">=", 4))
+	for target, count := range used {
+		g.Expect(count).To(BeNumerically("<=", 10), target)
+	}
+}
+
+// Long prompts among short ones: each kind keeps to its lane while there is room.
+func TestLanes(t *testing.T) {
+	g := NewWithT(t)
+	b := board(12)
+	long, short := map[string]bool{}, map[string]bool{}
+	for i := range 6 {
+		c := b.Choose(query(9000, fmt.Sprint("r", i), fmt.Sprint("d", i), "own"))
+		long[c.Target()] = true
+		c.End(mtboard.Good{})
+		c = b.Choose(query(600, fmt.Sprint("q", i), "own"))
+		short[c.Target()] = true
+		c.End(mtboard.Good{})
+	}
+	for target := range short {
+		g.Expect(long).NotTo(HaveKey(target))
+	}
+}
+
+// What other entries have given an engine to read counts as what one's own has.
+func TestOthersPendingCounts(t *testing.T) {
+	g := NewWithT(t)
+	b := board(2)
+	q := query(9000, "rules", "dossier", "own")
+	first := b.Choose(q)
+	first.End(mtboard.Good{})
+	loaded := state(first.Target(), 1)
+	loaded.Pending = 40000
+	b.Hear(loaded)
+	g.Expect(b.Choose(q).Target()).NotTo(Equal(first.Target()))
+}
+
+// An engine about to load takes nothing; one whose weights are outdated neither,
+// while another has the newest; where none has, callers are served all the same.
+func TestOutdatedWeights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := board(2)
+		b.Name(&fleetv1.Weights{Model: "m", Version: 2, Revision: 2})
+		time.Sleep(4 * time.Second)
+		b.Name(&fleetv1.Weights{Model: "m", Version: 3, Revision: 3})
+		time.Sleep(3 * time.Second)
+		b.Hear(state("e0", 1))
+		g.Expect(b.Choose(query(500, "q", "own"))).NotTo(BeNil(), "no engine has newer weights")
+		b.Hear(state("e1", 3))
+		for range 20 {
+			g.Expect(b.Choose(query(500, "q", "own")).Target()).To(Equal("e1"))
+		}
+		ordering := state("e1", 3)
+		ordering.Ordering = true
+		b.Hear(ordering)
+		g.Expect(b.Choose(query(500, "q", "own"))).NotTo(BeNil())
+	})
+}
+
+// A target that can't be reached is left out for a moment and then tried again;
+// one that fails a share of its requests gets few, and returns when it is well.
+func TestFaultyTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := board(2)
+		b.Choose(query(500, "q", "own")).End(mtboard.Unreached{})
+		reached := b.Choose(query(500, "q", "own"))
+		reached.End(mtboard.Good{})
+		time.Sleep(20 * time.Second)
+		used := map[string]bool{}
+		for range 40 {
+			c := b.Choose(query(500, "q", "own"))
+			used[c.Target()] = true
+		}
+		g.Expect(used).To(HaveLen(2))
+	})
+}
+
+// An isolated account's prompts are salted apart, and so are other weights.
+func TestSaltsSeparate(t *testing.T) {
+	g := NewWithT(t)
+	b := board(1)
+	ask := &fleetv1.Ask{Model: "m", Prompt: 100, Parts: []*fleetv1.Part{{Id: "p", Tokens: 100}}}
+	salt := func(account *fleetv1.Account) string {
+		return b.Choose(mtboard.NewQuery(pool, ask, account, "")).Salt()
+	}
+	shared := salt(&fleetv1.Account{Name: "a"})
+	g.Expect(salt(&fleetv1.Account{Name: "b"})).To(Equal(shared))
+	alone := salt(&fleetv1.Account{Name: "a", Isolated: true})
+	g.Expect(alone).NotTo(Equal(shared))
+	g.Expect(salt(&fleetv1.Account{Name: "b", Isolated: true})).NotTo(Equal(alone))
+	b.Hear(state("e0", 2))
+	g.Expect(salt(&fleetv1.Account{Name: "a", Isolated: true})).NotTo(Equal(alone))
+}
+
+// An engine starts again under its id: what it held before is void.
+func TestBornAnew(t *testing.T) {
+	g := NewWithT(t)
+	b := board(1)
+	b.Hear(state("e0", 1))
+	first := b.Choose(query(6000, "rules", "dossier", "own"))
+	first.Started(&fleetv1.Answer{})
+	g.Expect(b.Choose(query(6000, "rules", "dossier", "own2")).Matched()).NotTo(BeZero())
+	again := state("e0", 1)
+	again.Report.Born = 2
+	b.Hear(again)
+	g.Expect(b.Choose(query(6000, "rules", "dossier", "own3")).Matched()).To(BeZero())
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, engines := range []int{18, 45, 300} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			board := board(engines)
+			q := query(9000, "rules", "dossier", "own")
+			for b.Loop() {
+				board.Choose(q).End(mtboard.Good{})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/placement/mtholder/holder_test.go
@@ -0,0 +1,75 @@
+package mtholder_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/placement/mtholder"
+)
+
+func parts() []*fleetv1.Part {
+	return []*fleetv1.Part{{Id: "rules", Tokens: 100}, {Id: "dossier", Tokens: 200}, {Id: "own", Tokens: 50}}
+}
+
+// A match goes from the prompt's beginning as far as every part is held.
+func TestMatchFromTheBeginning(t *testing.T) {
+	g := NewWithT(t)
+	m := mtholder.New()
+	m.Note("s", "a", parts()[:2])
+	m.Note("s", "b", parts()[1:])
+	m.Learn("c", []*fleetv1.Held{{Salt: "s", Part: "rules", Tokens: 60}, {Salt: "s", Part: "dossier", Tokens: 200}})
+	matches := m.Matches("s", parts())
+	g.Expect(matches["a"]).To(Equal(mtholder.Match{Parts: 2, Tokens: 300, Read: 300}))
+	g.Expect(matches).NotTo(HaveKey("b"))
+	g.Expect(matches["c"]).To(Equal(mtholder.Match{Parts: 0, Tokens: 60, Read: 60}))
+	g.Expect(m.Matches("other weights", parts())).To(BeEmpty())
+}
+
+// What an engine was given to read draws requests there, and can't be fetched.
+func TestReadingIsNoSource(t *testing.T) {
+	g := NewWithT(t)
+	m := mtholder.New()
+	m.Note("s", "a", parts()[:1])
+	m.Read("s", "a", parts()[:2])
+	g.Expect(m.Matches("s", parts())["a"]).To(Equal(mtholder.Match{Parts: 2, Tokens: 300, Read: 100}))
+	m.Note("s", "a", parts()[:2])
+	g.Expect(m.Matches("s", parts())["a"].Read).To(Equal(int64(300)))
+}
+
+// What was only believed fades within seconds; what the engine told lasts until
+// it tells that the part is gone, or starts anew.
+func TestBeliefFades(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := mtholder.New()
+		m.Note("s", "a", parts()[:1])
+		m.Learn("b", []*fleetv1.Held{{Salt: "s", Part: "rules", Tokens: 100}})
+		time.Sleep(5 * time.Second)
+		g.Expect(m.Matches("s", parts())).NotTo(HaveKey("a"))
+		g.Expect(m.Matches("s", parts())).To(HaveKey("b"))
+		m.Learn("b", []*fleetv1.Held{{Salt: "s", Part: "rules"}})
+		g.Expect(m.Matches("s", parts())).To(BeEmpty())
+		m.Learn("b", []*fleetv1.Held{{Salt: "s", Part: "rules", Tokens: 100}})
+		m.Forget("b")
+		g.Expect(m.Matches("s", parts())).To(BeEmpty())
+	})
+}
+
+// More holders than are kept: the ones used last stay.
+func TestHoldersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := mtholder.New()
+		for _, target := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+			m.Note("s", target, parts()[:1])
+			time.Sleep(time.Millisecond)
+		}
+		matches := m.Matches("s", parts())
+		g.Expect(matches).To(HaveLen(6))
+		g.Expect(matches).NotTo(HaveKey("a"))
+	})
+}
--- a/internal/prefix/mtheld/log.go
+++ b/internal/prefix/mtheld/log.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 )
@@ -35,18 +36,19 @@
 	held   *fleetv1.Held
 }
 
-// New returns an empty log.
+// New returns an empty log. Its first epoch is the time, so that a restarted
+// sidecar's differs from those before.
 func New() *Log {
-	return &Log{parts: map[key]*list.Element{}, order: list.New()}
+	return &Log{epoch: time.Now().UnixNano(), parts: map[key]*list.Element{}, order: list.New()}
 }
 
 // Epoch names the log's present contents: it changes when they are void.
 func (l *Log) Epoch() int64 { return l.epoch }
 
 // Clear empties the log: the engine has started anew, or events were lost.
-func (l *Log) Clear(epoch int64) {
-	l.epoch = epoch
-	l.dropped = l.last
+func (l *Log) Clear() {
+	l.epoch++
+	l.last, l.dropped = 0, 0
 	clear(l.parts)
 	l.order.Init()
 }
--- a/internal/relay/mtbeside/cache.go
+++ b/internal/relay/mtbeside/cache.go
@@ -31,7 +31,7 @@
 			if events.GetLost() || events.GetEpoch() != epoch {
 				// What is held now is told by the events to come: the list of all
 				// would stall the engine.
-				s.held.Clear(events.GetEpoch())
+				s.held.Clear()
 			}
 			for _, change := range events.GetChanges() {
 				s.held.Put(change)
--- /dev/null
+++ b/internal/routing/mtcatalog/catalog_test.go
@@ -0,0 +1,65 @@
+package mtcatalog_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
+)
+
+func catalog() *mtcatalog.Catalog {
+	share := func(service string, weight int32) *fleetv1.Share {
+		return &fleetv1.Share{Service: service, Weight: weight}
+	}
+	return mtcatalog.New(&fleetv1.Catalog{
+		Version: 3,
+		Routes: []*fleetv1.Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Shares: []*fleetv1.Share{share("s", 1)}},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Shares: []*fleetv1.Share{share("s", 90), share("t", 10), share("u", 0)}},
+		},
+		Services: []*fleetv1.Service{
+			{Name: "s"}, {Name: "far", Cache: "10.0.0.1:80", Datacentre: "south"}, {Name: "near", Cache: "10.0.0.2:80", Datacentre: "north"},
+		},
+		Accounts: []*fleetv1.Account{{Name: "school", Keys: []string{"k1", "k2"}}},
+	})
+}
+
+func ExampleCatalog_Route() {
+	c := catalog()
+	fmt.Println(c.Route("A.example:8080", "/x/y/z").GetName())
+	fmt.Println(c.Route("a.example", "/x/z").GetName())
+	fmt.Println(c.Route("a.example", "/xy") == nil)
+	fmt.Println(c.Route("b.example", "/x/") == nil)
+	// Output:
+	// long
+	// short
+	// true
+	// true
+}
+
+func TestLookups(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog()
+	g.Expect(c.Account("k2").GetName()).To(Equal("school"))
+	g.Expect(c.Account("k3")).To(BeNil())
+	g.Expect(c.Keyed()).To(BeTrue())
+	g.Expect(c.Cache("north")).To(Equal("10.0.0.2:80"))
+	g.Expect(c.Cache("elsewhere")).NotTo(BeEmpty())
+	g.Expect(mtcatalog.New(&fleetv1.Catalog{}).Cache("north")).To(BeEmpty())
+}
+
+// A route's shares: nine in ten, one in ten, and none to a weight of zero.
+func TestShares(t *testing.T) {
+	g := NewWithT(t)
+	route := catalog().Route("a.example", "/x/y/")
+	count := map[string]int{}
+	for range 4000 {
+		count[mtcatalog.Pick(route)]++
+	}
+	g.Expect(count["t"]).To(BeNumerically("~", 400, 120))
+	g.Expect(count).NotTo(HaveKey("u"))
+	g.Expect(mtcatalog.Pick(&fleetv1.Route{})).To(BeEmpty())
+}
