Let entries tell each other how far they know, and which requests break targets

Cause: each entry's knowledge hung on its own watches alone: an entry that the store turned away, or that restarted meanwhile, knew nothing, and each watch was short and counted. A request that crashes targets was known to no one. Change: digests between entries (configuration, list of targets, suspects) with a call for what is missing; two entries watch in short turns, the others in long ones; changes gather for 0.1 to 0.5 s before the next watch; a request that broke three targets is refused at every entry.

--- a/internal/members/mtfollow/follow.go
+++ b/internal/members/mtfollow/follow.go
@@ -13,11 +13,6 @@
 )
 
 const (
-	// watchTime is how long one watch waits. A watch that the store has forgotten
-	// is found when it is over, and what was accepted meanwhile must be in force
-	// two seconds after a store that was away counts as stable again, which is
-	// three seconds after its return.
-	watchTime = 3 * time.Second
 	// probeTime is the same while the store is away.
 	probeTime = time.Millisecond
 	// firstPause and lastPause bound the wait after a failed call; half of each
@@ -35,10 +30,14 @@
 
 // Sink takes in what the store says. Its calls come one after another.
 type Sink[C any] interface {
-	// Replace gets the complete list.
-	Replace(list []C)
-	// Change gets one change.
-	Change(change C)
+	// Wait is how long the next watch may wait.
+	Wait() time.Duration
+	// Pause is how long changes may gather before the next watch after some.
+	Pause() time.Duration
+	// Replace gets the complete list, at a revision of the store.
+	Replace(list []C, revision int64)
+	// Changes gets what changed up to a revision.
+	Changes(changes []C, revision int64)
 	// Away is called when the store stops to answer, Back when it answers again.
 	Away(err error)
 	Back()
@@ -75,26 +74,27 @@
 			return trace.Wrap(err)
 		}
 		f.answered()
-		f.sink.Replace(list)
+		f.sink.Replace(list, revision)
 		f.revision = revision
 		return nil
 	}
-	wait := watchTime
+	bound := f.sink.Wait()
 	if f.away {
 		// A call that a silent store has swallowed is not answered when the store
 		// is back: short calls find its return at once.
-		wait = probeTime
+		bound = probeTime
 	}
-	changes, revision, err := f.source.Watch(ctx, f.revision, wait)
+	changes, revision, err := f.source.Watch(ctx, f.revision, bound)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	f.answered()
-	for _, change := range changes {
-		f.sink.Change(change)
-	}
 	// A replica that lags may name an older revision than one already seen.
 	f.revision = max(f.revision, revision)
+	f.sink.Changes(changes, f.revision)
+	if len(changes) > 0 {
+		wait(ctx, f.sink.Pause())
+	}
 	return nil
 }
 
--- a/internal/members/mtroster/roster.go
+++ b/internal/members/mtroster/roster.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 )
 
@@ -30,6 +32,8 @@
 	// doubtful ends when entries that are gone count as gone at once.
 	doubtful time.Time
 	away     bool
+	// complete is the store's revision up to which the list is complete.
+	complete int64
 }
 
 // View is the list at one moment.
@@ -37,6 +41,8 @@
 	targets  map[string]*fleetv1.Target
 	services map[string][]*fleetv1.Target
 	number   uint64
+	complete int64
+	sum      uint64
 }
 
 // New returns an empty roster.
@@ -61,10 +67,21 @@
 // Number grows with each change of the list.
 func (v *View) Number() uint64 { return v.number }
 
-// Replace takes in a complete list. It returns the ids that it dropped.
-func (r *Roster) Replace(list map[string]*fleetv1.Target) []string {
+// Complete is the store's revision up to which the list is complete.
+func (v *View) Complete() int64 { return v.complete }
+
+// Sum is a checksum of the list, by which entries compare theirs.
+func (v *View) Sum() uint64 { return v.sum }
+
+// Replace takes in a complete list at a revision. It returns the ids that it
+// dropped. A list that is older than what is known changes nothing.
+func (r *Roster) Replace(list map[string]*fleetv1.Target, revision int64) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if revision < r.complete {
+		return nil
+	}
+	r.complete = revision
 	var dropped []string
 	for id := range r.targets {
 		if _, ok := list[id]; !ok && r.remove(id) {
@@ -78,6 +95,16 @@
 	return dropped
 }
 
+// Complete notes the revision up to which changes have been taken in.
+func (r *Roster) Complete(revision int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if revision > r.complete {
+		r.complete = revision
+		r.publish()
+	}
+}
+
 // Put takes in one entry's new value.
 func (r *Roster) Put(id string, target *fleetv1.Target) {
 	r.mu.Lock()
@@ -170,10 +197,12 @@
 		targets:  maps.Clone(r.targets),
 		services: map[string][]*fleetv1.Target{},
 		number:   r.view.Load().number + 1,
+		complete: r.complete,
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
 		target := r.targets[id]
 		view.services[target.GetService()] = append(view.services[target.GetService()], target)
+		view.sum += xxh3.HashStringSeed(id, uint64(target.GetRevision()))
 	}
 	r.view.Store(view)
 }
--- a/internal/members/mtroster/roster_test.go
+++ b/internal/members/mtroster/roster_test.go
@@ -21,11 +21,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		r := mtroster.New()
-		r.Replace(map[string]*fleetv1.Target{"a": target("a", 1, false), "b": target("b", 2, false), "c": target("c", 3, true)})
+		r.Replace(map[string]*fleetv1.Target{"a": target("a", 1, false), "b": target("b", 2, false), "c": target("c", 3, true)}, 3)
 		r.Away()
 		time.Sleep(5 * time.Second)
 		r.Back()
-		g.Expect(r.Replace(map[string]*fleetv1.Target{})).To(Equal([]string{"c"}))
+		g.Expect(r.Replace(map[string]*fleetv1.Target{}, 4)).To(Equal([]string{"c"}))
 		g.Expect(r.View().Service("s")).To(HaveLen(2))
 		r.Put("a", target("a", 9, false))
 		time.Sleep(3 * time.Second)
@@ -48,3 +48,17 @@
 	g.Expect(r.View().Number()).To(BeNumerically(">", number))
 	g.Expect(r.View().All()).To(BeEmpty())
 }
+
+// A peer's list that is older than what is known drops nothing.
+func TestOlderList(t *testing.T) {
+	g := NewWithT(t)
+	r := mtroster.New()
+	r.Replace(map[string]*fleetv1.Target{"a": target("a", 5, false)}, 10)
+	g.Expect(r.Replace(map[string]*fleetv1.Target{}, 9)).To(BeEmpty())
+	g.Expect(r.View().Target("a")).NotTo(BeNil())
+	sum := r.View().Sum()
+	r.Put("a", target("a", 6, false))
+	g.Expect(r.View().Sum()).NotTo(Equal(sum))
+	r.Complete(12)
+	g.Expect(r.View().Complete()).To(Equal(int64(12)))
+}
--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -33,6 +33,7 @@
 	SwapUnanswered   Kind = 7043
 	WeightsInPlace   Kind = 7044
 	RequestDangerous Kind = 7045
+	PeerLost         Kind = 7046
 )
 
 var fleetRows = map[Kind]row{
@@ -67,4 +68,5 @@
 	SwapUnanswered:   {"swap-unanswered", "the order got no answer: the engine's report will show what became of it"},
 	WeightsInPlace:   {"weights-in-place", "the engine serves the named weights"},
 	RequestDangerous: {"request-dangerous", "a request has crashed targets that ran it and is refused"},
+	PeerLost:         {"peer-lost", "another entry that knows more could not be asked"},
 }
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -34,6 +34,13 @@
 // Target is the chosen target's id.
 func (c *Choice) Target() string { return c.id }
 
+// Incarnation names the target and, where that is known, its start.
+func (c *Choice) Incarnation() string {
+	c.board.mu.Lock()
+	defer c.board.mu.Unlock()
+	return c.id + "/" + itoa(c.record.state.GetReport().GetBorn())
+}
+
 // Address is its IP:PORT.
 func (c *Choice) Address() string { return c.record.target.GetAddress() }
 
--- a/internal/relay/mtfront/deliver.go
+++ b/internal/relay/mtfront/deliver.go
@@ -129,6 +129,7 @@
 	case err != nil && ctx.Err() == nil && r.route.GetResumable():
 		link.Close()
 		choice.End(mtboard.Broken{})
+		r.broke(choice)
 		return broken{why: "the stream broke off: " + err.Error()}
 	case err != nil:
 		return r.cut(ctx, choice, link, err)
@@ -227,6 +228,7 @@
 		choice.End(mtboard.Left{})
 	} else {
 		choice.End(mtboard.Broken{})
+		r.broke(choice)
 	}
 	r.front.trail.Warn(mtkind.RequestFailed, append(r.fields(), zap.String("target", choice.Target()),
 		zap.String("why", "the answer broke off: "+err.Error()))...)
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -21,6 +21,7 @@
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
+	"github.com/mustardtide/mustardtide/internal/request/mtquarantine"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
 	"github.com/mustardtide/mustardtide/platform/mtobjects"
@@ -47,9 +48,15 @@
 	closed   atomic.Bool
 	live     atomic.Int64
 	wake     chan struct{}
+	spread   chan struct{}
+	learn    chan string
 
 	mu         sync.Mutex
 	allowances map[string]*mtallowance.Allowance
+	// fresh are the requests that broke targets of late.
+	fresh    []breakage
+	suspects *mtquarantine.Table
+	asker    *http.Client
 }
 
 // New returns an entry that knows nothing yet, on a network whose dials are
@@ -63,6 +70,10 @@
 		board:      mtboard.New(site.GetDatacentre(), site.GetBounds().GetWeights().AsDuration()),
 		roster:     mtroster.New(),
 		wake:       make(chan struct{}, 1),
+		spread:     make(chan struct{}, 1),
+		learn:      make(chan string, 1),
+		suspects:   mtquarantine.After(crashes),
+		asker:      &http.Client{Transport: network.Outside(), Timeout: askTime},
 		allowances: map[string]*mtallowance.Allowance{},
 	}
 	dials := trail.Metrics().Counter("target_connections_total")
@@ -81,6 +92,8 @@
 		func(ctx context.Context) error { return f.socket.Serve(ctx, f.hear) },
 		f.greet,
 		f.sweep,
+		f.spreadAll,
+		f.learnAll,
 	}
 	ends := make(chan error, len(tasks))
 	for _, task := range tasks {
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -110,6 +110,8 @@
 		f.hearState(from, w.State)
 	case *fleetv1.Word_Notice:
 		f.board.Notice(w.Notice)
+	case *fleetv1.Word_Digest:
+		f.hearDigest(from, w.Digest)
 	}
 }
 
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -15,25 +15,40 @@
 type targets struct{ front *Front }
 
 // Replace gets the complete list.
-func (s *targets) Replace(list []mtobjects.Change[*fleetv1.Target]) {
+func (s *targets) Replace(list []mtobjects.Change[*fleetv1.Target], revision int64) {
 	found := map[string]*fleetv1.Target{}
 	for _, change := range list {
 		if !change.Gone() {
 			found[change.Name()] = change.Value()
 		}
 	}
-	before := s.front.roster.View()
+	s.front.replace(found, revision, "store")
+}
+
+// replace takes in a complete list of targets.
+func (f *Front) replace(found map[string]*fleetv1.Target, revision int64, source string) {
+	before := f.roster.View()
 	for id, target := range found {
-		s.tell(before.Target(id), target)
+		f.tellTarget(before.Target(id), target, source)
+	}
+	for _, id := range f.roster.Replace(found, revision) {
+		f.trail.Warn(mtkind.TargetGone, zap.String("target", id), zap.String("why", "not on the list"), zap.String("from", source))
+	}
+	f.listed()
+}
+
+// Changes gets what changed.
+func (s *targets) Changes(changes []mtobjects.Change[*fleetv1.Target], revision int64) {
+	for _, change := range changes {
+		s.change(change)
 	}
-	for _, id := range s.front.roster.Replace(found) {
-		s.front.trail.Warn(mtkind.TargetGone, zap.String("target", id), zap.String("why", "not on the list"))
+	s.front.roster.Complete(revision)
+	if len(changes) > 0 {
+		s.front.listed()
 	}
-	s.front.listed()
 }
 
-// Change gets one entry's change.
-func (s *targets) Change(change mtobjects.Change[*fleetv1.Target]) {
+func (s *targets) change(change mtobjects.Change[*fleetv1.Target]) {
 	if change.Gone() {
 		if s.front.roster.View().Target(change.Name()) == nil {
 			return
@@ -44,23 +59,28 @@
 		}
 		s.front.trail.Warn(kind, zap.String("target", change.Name()))
 	} else {
-		s.tell(s.front.roster.View().Target(change.Name()), change.Value())
+		s.front.tellTarget(s.front.roster.View().Target(change.Name()), change.Value(), "store")
 		s.front.roster.Put(change.Name(), change.Value())
 	}
-	s.front.listed()
 }
 
-// tell logs what an entry changes.
-func (s *targets) tell(before, now *fleetv1.Target) {
+// Wait is how long a watch may wait.
+func (s *targets) Wait() time.Duration { return s.front.watchTime() }
+
+// Pause is how long changes may gather.
+func (s *targets) Pause() time.Duration { return s.front.gatherTime() }
+
+// tellTarget logs what a target's entry changes.
+func (f *Front) tellTarget(before, now *fleetv1.Target, source string) {
 	fields := []zap.Field{
 		zap.String("target", now.GetId()), zap.String("service", now.GetService()),
-		zap.String("address", now.GetAddress()), zap.Int64("revision", now.GetRevision()),
+		zap.String("address", now.GetAddress()), zap.Int64("revision", now.GetRevision()), zap.String("from", source),
 	}
 	switch {
 	case now.GetLeaving() && !before.GetLeaving():
-		s.front.trail.Warn(mtkind.TargetLeaving, fields...)
+		f.trail.Warn(mtkind.TargetLeaving, fields...)
 	case before == nil:
-		s.front.trail.Say(mtkind.TargetListed, fields...)
+		f.trail.Say(mtkind.TargetListed, fields...)
 	}
 }
 
@@ -80,22 +100,28 @@
 type catalogs struct{ front *Front }
 
 // Replace gets the configuration, if there is one.
-func (s *catalogs) Replace(list []mtobjects.Change[*fleetv1.Catalog]) {
-	for _, change := range list {
-		s.Change(change)
-	}
+func (s *catalogs) Replace(list []mtobjects.Change[*fleetv1.Catalog], revision int64) {
+	s.Changes(list, revision)
 }
 
-// Change gets a new configuration. One that is gone, unreadable or not newer
+// Changes gets new configurations. One that is gone, unreadable or not newer
 // leaves the one in force: a configuration never reverts.
-func (s *catalogs) Change(change mtobjects.Change[*fleetv1.Catalog]) {
-	if change.Gone() {
-		s.front.trail.Warn(mtkind.CatalogIgnored, zap.String("name", change.Name()), zap.String("why", "gone or unreadable"))
-		return
+func (s *catalogs) Changes(changes []mtobjects.Change[*fleetv1.Catalog], _ int64) {
+	for _, change := range changes {
+		if change.Gone() {
+			s.front.trail.Warn(mtkind.CatalogIgnored, zap.String("name", change.Name()), zap.String("why", "gone or unreadable"))
+			continue
+		}
+		s.front.configure(change.Value(), "store")
 	}
-	s.front.configure(change.Value())
 }
 
+// Wait is how long a watch may wait.
+func (s *catalogs) Wait() time.Duration { return s.front.watchTime() }
+
+// Pause is how long changes may gather.
+func (s *catalogs) Pause() time.Duration { return s.front.gatherTime() }
+
 // Away keeps the configuration.
 func (s *catalogs) Away(err error) { s.front.lost("catalog", err) }
 
@@ -103,7 +129,7 @@
 func (s *catalogs) Back() { s.front.back("catalog") }
 
 // configure puts a configuration in force if it is newer.
-func (f *Front) configure(source *fleetv1.Catalog) {
+func (f *Front) configure(source *fleetv1.Catalog, from string) {
 	old := f.catalog.Load()
 	if old != nil && (source.GetVersion() <= old.Version() || source.GetRevision() <= old.Revision()) {
 		if source.GetRevision() != old.Revision() {
@@ -113,26 +139,33 @@
 	}
 	f.catalog.Store(mtcatalog.New(source))
 	f.trail.Say(mtkind.CatalogInForce, zap.Int64("version", source.GetVersion()), zap.Int64("revision", source.GetRevision()),
-		zap.Int("routes", len(source.GetRoutes())), zap.Int("accounts", len(source.GetAccounts())))
+		zap.Int("routes", len(source.GetRoutes())), zap.Int("accounts", len(source.GetAccounts())), zap.String("from", from))
+	f.digest()
 }
 
 // weights takes in the named weights of models.
 type weights struct{ front *Front }
 
 // Replace gets the complete list.
-func (s *weights) Replace(list []mtobjects.Change[*fleetv1.Weights]) {
-	for _, change := range list {
-		s.Change(change)
-	}
+func (s *weights) Replace(list []mtobjects.Change[*fleetv1.Weights], revision int64) {
+	s.Changes(list, revision)
 }
 
-// Change gets one model's newest weights, and tells the sidecars at once.
-func (s *weights) Change(change mtobjects.Change[*fleetv1.Weights]) {
-	if !change.Gone() {
-		s.front.named(change.Value(), "store")
+// Changes gets models' newest weights, and tells the sidecars at once.
+func (s *weights) Changes(changes []mtobjects.Change[*fleetv1.Weights], _ int64) {
+	for _, change := range changes {
+		if !change.Gone() {
+			s.front.named(change.Value(), "store")
+		}
 	}
 }
 
+// Wait is how long a watch may wait.
+func (s *weights) Wait() time.Duration { return s.front.watchTime() }
+
+// Pause is how long changes may gather.
+func (s *weights) Pause() time.Duration { return s.front.gatherTime() }
+
 // Away keeps what was named.
 func (s *weights) Away(err error) { s.front.lost("weights", err) }
 
@@ -159,6 +192,7 @@
 // listed takes a changed list over to the board.
 func (f *Front) listed() {
 	f.board.List(f.roster.View().All())
+	f.digest()
 }
 
 // hurry lets the next greeting go out now.
--- /dev/null
+++ b/internal/relay/mtfront/learn.go
@@ -0,0 +1,194 @@
+package mtfront
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/zeebo/xxh3"
+	"go.uber.org/zap"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1/fleetv1connect"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+)
+
+// What the store accepts reaches an entry by its own watch, or by another
+// entry's. A watch that the store has forgotten, or a store that turns this
+// entry away, shows as a peer that knows more. So most watches may wait long,
+// which costs few calls, and two entries look often for a store that was silent
+// for all.
+const (
+	// quickWatch is how long the watches of the entries that look often wait: a
+	// change must be in force two seconds after the third second from the store's
+	// return, and a swallowed watch ends 0.8 s after its time.
+	quickWatch = 2500 * time.Millisecond
+	// slowWatch is the same for the others.
+	slowWatch = 15 * time.Second
+	// quickGather and slowGather are how long changes gather: short beside the two
+	// seconds in which they must be in force.
+	quickGather = 100 * time.Millisecond
+	slowGather  = 500 * time.Millisecond
+	// quick is how many entries look often: two, as one may be cut off.
+	quick = 2
+	// digestTime is how often entries tell each other how far they know.
+	digestTime = 300 * time.Millisecond
+	// ownTime is how long an entry waits for its own watch before it asks a peer
+	// that knows more: the watches of both are usually answered together.
+	ownTime = 40 * time.Millisecond
+	// askTime bounds that call.
+	askTime = 700 * time.Millisecond
+	// peerPort is the offset of the port on which entries answer each other.
+	peerPort = 2
+)
+
+// watchTime is how long this entry's watches wait.
+func (f *Front) watchTime() time.Duration {
+	if f.looksOften() {
+		return quickWatch
+	}
+	return slowWatch
+}
+
+// gatherTime is how long changes may gather before the store is asked again:
+// each call counts, and a rollout changes every engine's entry.
+func (f *Front) gatherTime() time.Duration {
+	if f.looksOften() {
+		return quickGather
+	}
+	return slowGather
+}
+
+// looksOften says that this entry is one of those that look often.
+func (f *Front) looksOften() bool {
+	peers := f.peers.list()
+	if len(peers) < quick {
+		return true
+	}
+	self := xxh3.HashString(f.socket.Address())
+	before := 0
+	for _, address := range peers {
+		if xxh3.HashString(address) < self {
+			before++
+		}
+	}
+	return before < quick
+}
+
+// digest lets the other entries hear at once how far this one knows.
+func (f *Front) digest() {
+	select {
+	case f.spread <- struct{}{}:
+	default:
+	}
+}
+
+// spreadAll tells the other entries now and then, and at once where something
+// has changed.
+func (f *Front) spreadAll(ctx context.Context) error {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-f.spread:
+		case <-time.After(digestTime):
+		}
+		view := f.roster.View()
+		digest := &fleetv1.Digest{Entry: f.site.GetName(), Targets: view.Complete(), Sum: view.Sum(), Suspects: f.recent()}
+		if catalog := f.catalog.Load(); catalog != nil {
+			digest.Catalog = catalog.Revision()
+		}
+		f.peers.tell(f.socket, &fleetv1.Word{Word: &fleetv1.Word_Digest{Digest: digest}})
+	}
+	return ctx.Err()
+}
+
+// hearDigest takes in how far another entry knows.
+func (f *Front) hearDigest(from string, digest *fleetv1.Digest) {
+	f.peers.see([]string{from}, f.socket.Address())
+	for _, suspect := range digest.GetSuspects() {
+		f.suspects.Crash(suspect.GetDigest(), suspect.GetSource())
+	}
+	if f.knowsLess(digest) {
+		select {
+		case f.learn <- from:
+		default:
+		}
+	}
+}
+
+// knowsLess says that another entry has a newer configuration, or a newer list
+// that differs.
+func (f *Front) knowsLess(digest *fleetv1.Digest) bool {
+	catalog := f.catalog.Load()
+	if digest.GetCatalog() > 0 && (catalog == nil || digest.GetCatalog() > catalog.Revision()) {
+		return true
+	}
+	view := f.roster.View()
+	return digest.GetTargets() > view.Complete() && digest.GetSum() != view.Sum()
+}
+
+// learnAll asks entries that know more, one after another.
+func (f *Front) learnAll(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case from := <-f.learn:
+			time.Sleep(ownTime)
+			f.ask(ctx, from)
+		}
+	}
+}
+
+// ask takes over what another entry knows. What is older changes nothing.
+func (f *Front) ask(ctx context.Context, from string) {
+	address := net.JoinHostPort(host(from), strconv.Itoa(int(f.site.GetFirstport()+peerPort)))
+	client := fleetv1connect.NewPeerServiceClient(f.asker, "http://"+address)
+	answer, err := client.Know(ctx, connect.NewRequest(&fleetv1.KnowRequest{}))
+	if err != nil {
+		f.trail.Warn(mtkind.PeerLost, zap.String("peer", address), zap.Error(err))
+		return
+	}
+	known := answer.Msg
+	if known.GetCatalog() != nil {
+		f.configure(known.GetCatalog(), "entry "+address)
+	}
+	for _, weights := range known.GetNamed() {
+		f.named(weights, "entry "+address)
+	}
+	if view := f.roster.View(); known.GetRevision() > view.Complete() {
+		found := map[string]*fleetv1.Target{}
+		for _, target := range known.GetTargets() {
+			found[target.GetId()] = target
+		}
+		f.replace(found, known.GetRevision(), "entry "+address)
+	}
+}
+
+// Know answers another entry.
+func (f *Front) Know(context.Context, *connect.Request[fleetv1.KnowRequest]) (*connect.Response[fleetv1.Knowledge], error) {
+	view := f.roster.View()
+	known := &fleetv1.Knowledge{Revision: view.Complete(), Named: f.board.Named()}
+	if catalog := f.catalog.Load(); catalog != nil {
+		known.Catalog = catalog.Source()
+	}
+	for _, target := range view.All() {
+		known.Targets = append(known.Targets, target)
+	}
+	return connect.NewResponse(known), nil
+}
+
+// Peer is the handler for other entries.
+func (f *Front) Peer() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(fleetv1connect.NewPeerServiceHandler(f))
+	return mux
+}
+
+// PeerAddress is where an entry answers other entries.
+func PeerAddress(site *fleetv1.Site) string {
+	return net.JoinHostPort(site.GetAddress(), strconv.Itoa(int(site.GetFirstport()+peerPort)))
+}
--- a/internal/relay/mtfront/peers.go
+++ b/internal/relay/mtfront/peers.go
@@ -52,9 +52,9 @@
 	return live
 }
 
-// tell sends a notice to all; one that is lost costs a part read twice.
-func (p *peers) tell(socket mtpulse.Socket, notice *fleetv1.Notice) {
-	word := &fleetv1.Word{Word: &fleetv1.Word_Notice{Notice: notice}}
+// tell sends a word to all. A notice that is lost costs a part read twice; a
+// digest is made up for by the next.
+func (p *peers) tell(socket mtpulse.Socket, word *fleetv1.Word) {
 	for _, address := range p.list() {
 		_ = socket.Send(address, word)
 	}
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -120,6 +120,7 @@
 		return broken{why: "ended at the target: " + ctx.Err().Error()}
 	}
 	choice.End(mtboard.Broken{})
+	r.broke(choice)
 	return broken{why: err.Error()}
 }
 
@@ -133,7 +134,8 @@
 	if !worth {
 		return
 	}
-	r.front.peers.tell(r.front.socket, &fleetv1.Notice{Target: choice.Target(), Salt: choice.Salt(), Parts: parts, Read: read, Saved: read && choice.Save() != ""})
+	notice := &fleetv1.Notice{Target: choice.Target(), Salt: choice.Salt(), Parts: parts, Read: read, Saved: read && choice.Save() != ""}
+	r.front.peers.tell(r.front.socket, &fleetv1.Word{Word: &fleetv1.Word_Notice{Notice: notice}})
 }
 
 // logSent names the target and why it was chosen.
--- a/internal/request/mtquarantine/table.go
+++ b/internal/request/mtquarantine/table.go
@@ -64,7 +64,8 @@
 // Table holds suspects and quarantined requests. It is safe for concurrent use;
 // while it is empty a look-up is one atomic read.
 type Table struct {
-	count atomic.Int64
+	count     atomic.Int64
+	condemned int
 
 	mu    sync.Mutex
 	marks map[[size]byte]*mark
@@ -72,7 +73,12 @@
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{marks: map[[size]byte]*mark{}} }
+func New() *Table { return After(condemned) }
+
+// After returns an empty table that quarantines a request at so many crashes.
+func After(crashes int) *Table {
+	return &Table{marks: map[[size]byte]*mark{}, condemned: crashes}
+}
 
 // Crash notes that a target died while it ran a request, and reports whether
 // that quarantines the request. source names the target and its incarnation:
@@ -84,11 +90,11 @@
 	if m == nil {
 		return false
 	}
-	if !slices.Contains(m.crashes, source) && len(m.crashes) < condemned {
+	if !slices.Contains(m.crashes, source) && len(m.crashes) < t.condemned {
 		m.crashes = append(m.crashes, source)
 		m.since = time.Now()
 	}
-	if len(m.crashes) >= condemned {
+	if len(m.crashes) >= t.condemned {
 		m.banned = true
 	}
 	return m.banned
--- a/internal/role/mtfleet/entry.go
+++ b/internal/role/mtfleet/entry.go
@@ -39,11 +39,15 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	peer, err := d.listen(mtfront.PeerAddress(d.site), front.Peer())
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	metrics, err := d.metrics()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return d.serve([]*mtserver.Server{public, ready, metrics}, front.Run, func(ctx context.Context) {
+	return d.serve([]*mtserver.Server{public, ready, peer, metrics}, front.Run, func(ctx context.Context) {
 		drain(ctx, front, public)
 	})
 }
