Leave out programs whose address another has taken; ask the store of parts where nobody is known

Cause: after a loss of power on all instances the engines come back under new ids beside their former entries, which lapse 3.6 s later: requests went to both, and the sidecar's answers bore either id. Ruled out: slow telling of cache contents after a restart (no change from telling them in bursts, which stays as it costs nothing). Change: a target listed later at the same address goes first; a fetch from the store is tried once weights have settled.

--- a/internal/members/mtroster/roster.go
+++ b/internal/members/mtroster/roster.go
@@ -40,6 +40,8 @@
 type View struct {
 	targets  map[string]*fleetv1.Target
 	services map[string][]*fleetv1.Target
+	// newest are the targets listed last, by their addresses.
+	newest   map[string]*fleetv1.Target
 	number   uint64
 	complete int64
 	sum      uint64
@@ -61,6 +63,13 @@
 // Service lists a service's targets in the order of their ids, leaving ones too.
 func (v *View) Service(name string) []*fleetv1.Target { return v.services[name] }
 
+// Replaced says that another target was listed at the target's address after it:
+// a program that has started anew stands beside its former self until that
+// one's entry lapses.
+func (v *View) Replaced(target *fleetv1.Target) bool {
+	return v.newest[target.GetAddress()].GetId() != target.GetId()
+}
+
 // All lists every target.
 func (v *View) All() map[string]*fleetv1.Target { return v.targets }
 
@@ -196,11 +205,15 @@
 	view := &View{
 		targets:  maps.Clone(r.targets),
 		services: map[string][]*fleetv1.Target{},
+		newest:   map[string]*fleetv1.Target{},
 		number:   r.view.Load().number + 1,
 		complete: r.complete,
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
 		target := r.targets[id]
+		if newest := view.newest[target.GetAddress()]; newest == nil || newest.GetRevision() < target.GetRevision() {
+			view.newest[target.GetAddress()] = target
+		}
 		view.services[target.GetService()] = append(view.services[target.GetService()], target)
 		view.sum += xxh3.HashStringSeed(id, uint64(target.GetRevision()))
 	}
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -60,11 +60,11 @@
 	return 0
 }
 
-// settled is how long no new weights were named; the whole uptime where none
-// were.
+// settled is how long no new weights were named.
 func (n naming) settled() time.Duration {
-	if len(n.heard) == 0 {
-		return time.Since(time.Time{})
+	if len(n.heard) <= 1 {
+		// The first version that a process hears of may be old.
+		return time.Hour
 	}
 	return time.Since(n.heard[len(n.heard)-1].since)
 }
@@ -94,6 +94,9 @@
 	short bool
 	// misplaced says that another program answers at the address.
 	misplaced bool
+	// replaced says that another program was listed later at the address; a
+	// forged entry may say so falsely.
+	replaced bool
 	// version overrides the listed weights after an answer told of newer ones.
 	version int64
 }
@@ -114,8 +117,9 @@
 	}
 }
 
-// List takes in the list of targets.
-func (b *Board) List(targets map[string]*fleetv1.Target) {
+// List takes in the list of targets; replaced says which ones stand at an
+// address that another target has taken since.
+func (b *Board) List(targets map[string]*fleetv1.Target, replaced func(*fleetv1.Target) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id := range b.records {
@@ -135,6 +139,9 @@
 		}
 		r.target = target
 	}
+	for _, r := range b.records {
+		r.replaced = replaced(r.target)
+	}
 	b.divide()
 }
 
--- a/internal/placement/mtboard/board_test.go
+++ b/internal/placement/mtboard/board_test.go
@@ -31,7 +31,7 @@
 			Models: []*fleetv1.Weights{{Model: "m", Version: 1}},
 		}
 	}
-	b.List(list)
+	b.List(list, func(*fleetv1.Target) bool { return false })
 	b.Name(&fleetv1.Weights{Model: "m", Version: 1, Revision: 1})
 	return b
 }
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -41,6 +41,9 @@
 	// fullCost is what an engine without room in its memory or batch costs: its
 	// newest runs would be preempted and read again.
 	fullCost = 700 * time.Millisecond
+	// replacedCost is what a target costs at whose address another was listed
+	// later: it is almost surely gone.
+	replacedCost = 2 * time.Second
 	// fullShare of an engine's memory is where preemption comes near.
 	fullShare = 0.92
 )
@@ -200,7 +203,16 @@
 	if r.full(q) {
 		cost += fullCost
 	}
-	c.cost = cost + r.faults.cost()
+	c.cost = cost + r.doubts()
+}
+
+// doubts are what speaks against a target besides its load.
+func (r *record) doubts() time.Duration {
+	cost := r.faults.cost()
+	if r.replaced {
+		cost += replacedCost
+	}
+	return cost
 }
 
 // source names whom to fetch from what the target lacks of the prompt's shared
@@ -218,6 +230,11 @@
 			best, address, local = match, from, near
 		}
 	}
+	if address == "" && c.settled && c.query.sharedTokens() >= saveLeast {
+		// The store may hold parts that this process has not heard of; a miss
+		// costs a millisecond.
+		return c.query.cache, 0
+	}
 	if address == "" {
 		return "", 0
 	}
@@ -319,5 +336,5 @@
 	if r.target.GetDatacentre() != b.datacentre {
 		cost += apartPlain
 	}
-	c.cost = cost + r.faults.cost()
+	c.cost = cost + r.doubts()
 }
--- a/internal/prefix/mtheld/log.go
+++ b/internal/prefix/mtheld/log.go
@@ -87,7 +87,8 @@
 	}
 	for e := first; e != nil; e = e.Next() {
 		c := e.Value.(*change)
-		if c.number <= since {
+		if c.number <= since || since == 0 && c.held.GetTokens() == 0 {
+			// Who knows nothing yet need not hear of what is gone.
 			continue
 		}
 		if len(state.Changes) == perState {
--- a/internal/relay/mtbeside/cache.go
+++ b/internal/relay/mtbeside/cache.go
@@ -12,6 +12,9 @@
 const (
 	// eventsWait is how long a call for events waits: less than a call's bound.
 	eventsWait = 900 * time.Millisecond
+	// fullPage is the number of events from which on an answer may have left
+	// some out: engines tell 500 at once.
+	fullPage = 400
 	// eventsPause is the wait after a call that failed or brought events: at
 	// most so many calls a second, each with what came meanwhile.
 	eventsPause = 50 * time.Millisecond
@@ -38,6 +41,10 @@
 			}
 			s.mu.Unlock()
 			epoch, since = events.GetEpoch(), events.GetNext()
+			if len(events.GetChanges()) >= fullPage {
+				// More are waiting: a restarted sidecar catches up.
+				continue
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -143,16 +143,42 @@
 	for _, weights := range hello.GetWeights() {
 		s.name(weights, "entry "+hello.GetEntry())
 	}
-	state := s.state(from)
-	s.held.Fill(state, hello.GetEpoch(), hello.GetSince())
+	states := s.answer(from, hello)
 	shifted := s.shifted()
 	s.mu.Unlock()
-	s.tell(state, from)
+	for _, state := range states {
+		s.tell(state, from)
+	}
 	if shifted {
 		s.tellAll()
 	}
 }
 
+// burst bounds the states that answer one hello: an entry that knows nothing yet
+// hears of an engine's whole cache in two or three.
+const burst = 8
+
+// answer returns the states that tell an entry all that it does not know, as
+// many as go at once; the sidecar is locked.
+func (s *Sidecar) answer(from string, hello *fleetv1.Hello) []*fleetv1.State {
+	var states []*fleetv1.State
+	epoch, since := hello.GetEpoch(), hello.GetSince()
+	for len(states) < burst {
+		state := s.state(from)
+		s.held.Fill(state, epoch, since)
+		states = append(states, state)
+		if !state.GetMore() {
+			break
+		}
+		epoch, since = state.GetEpoch(), state.GetUpto()
+	}
+	for _, state := range states[:len(states)-1] {
+		// Only the last asks for another hello.
+		state.More = false
+	}
+	return states
+}
+
 // name takes in named weights; the sidecar is locked.
 func (s *Sidecar) name(weights *fleetv1.Weights, source string) {
 	if s.plan.Name(weights, s.place, s.total) {
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -46,6 +46,9 @@
 		}
 		engines := turns(f.roster.View().Service(service.GetName()), named)
 		for place, engine := range engines {
+			if f.roster.View().Replaced(engine) {
+				continue
+			}
 			hello := &fleetv1.Hello{
 				Entry:   f.site.GetName(),
 				Target:  engine.GetId(),
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -141,6 +141,7 @@
 	f.trail.Say(mtkind.CatalogInForce, zap.Int64("version", source.GetVersion()), zap.Int64("revision", source.GetRevision()),
 		zap.Int("routes", len(source.GetRoutes())), zap.Int("accounts", len(source.GetAccounts())), zap.String("from", from))
 	f.digest()
+	f.hurry()
 }
 
 // weights takes in the named weights of models.
@@ -191,8 +192,10 @@
 
 // listed takes a changed list over to the board.
 func (f *Front) listed() {
-	f.board.List(f.roster.View().All())
+	view := f.roster.View()
+	f.board.List(view.All(), view.Replaced)
 	f.digest()
+	f.hurry()
 }
 
 // hurry lets the next greeting go out now.
