Let a token that is read in vain cost three times

Cause: while every cache is empty, requests for a part that is being read went to less busy engines and read it there too.

--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -22,6 +22,10 @@
 	// fetchLeast is the least gain in tokens for which a fetch is asked: below
 	// it reading takes no longer.
 	fetchLeast = 64
+	// wasteTime is what a token costs that is read although another engine has it
+	// or is about to: the others' requests wait for that reading too, most of all
+	// when every cache is empty at once.
+	wasteTime = 2 * tokenTime
 	// stepTime is what one more running request costs each of the others' tokens,
 	// over the some 70 tokens of a usual answer.
 	stepTime = 2 * time.Millisecond
@@ -194,6 +198,7 @@
 	if !home && own.Tokens == 0 && len(q.shared()) > 0 {
 		cost += strayTime
 	}
+	cost += time.Duration(wasted(c, matches)) * wasteTime
 	if b.older(q.model(), c.version) {
 		cost += olderTime
 	}
@@ -215,6 +220,16 @@
 	return cost
 }
 
+// wasted are the shared tokens that the target would read although another has
+// them, or is about to.
+func wasted(c *Choice, matches map[string]mtholder.Match) int64 {
+	var known int64
+	for _, match := range matches {
+		known = max(known, match.Tokens)
+	}
+	return max(0, min(known, c.query.sharedTokens())-c.matched-c.fetched)
+}
+
 // source names whom to fetch from what the target lacks of the prompt's shared
 // parts, and how many tokens that saves.
 func (b *Board) source(c *Choice, matches map[string]mtholder.Match) (string, int64) {
--- a/internal/placement/mtholder/holder.go
+++ b/internal/placement/mtholder/holder.go
@@ -26,7 +26,7 @@
 	// when their memory fills.
 	believed = 3 * time.Second
 	// given is how long a part counts as about to be read.
-	given = time.Second
+	given = 3 * time.Second
 	// keeping is how long a store counts as holding a part: it has several times
 	// an engine's memory.
 	keeping = 20 * time.Second
