Greet other data centres at a third of the rate

Change: far sidecars are greeted every third round, states name 4 entries instead of 12, another data centre costs 80 ms.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -16,9 +16,10 @@
 	"github.com/mustardtide/mustardtide/internal/placement/mtholder"
 )
 
-// stateTime is how long a sidecar's word counts as fresh: five of its usual
-// intervals, so that two lost datagrams change nothing.
-const stateTime = 1500 * time.Millisecond
+// stateTime is how long a sidecar's word counts as fresh: three of the intervals
+// at which it is heard from another data centre, so that two lost datagrams
+// change nothing.
+const stateTime = 2500 * time.Millisecond
 
 // Board is safe for concurrent use.
 type Board struct {
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -31,7 +31,7 @@
 	stepTime = 2 * time.Millisecond
 	// apartTime is what another data centre costs: a few milliseconds there and
 	// back, and bytes that are dear in one fleet.
-	apartTime = 40 * time.Millisecond
+	apartTime = 80 * time.Millisecond
 	// strayTime is what a target that is not the prompt's home costs when nobody
 	// is known to hold the prompt: the other entries look for it at its home.
 	strayTime = 25 * time.Millisecond
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -249,9 +249,9 @@
 	}
 }
 
-// maxPeers bounds the entries that a state names: enough for a data centre's,
-// and few enough for a datagram.
-const maxPeers = 12
+// maxPeers bounds the entries that a state names: others come with the next, and
+// the entries name themselves to those they know.
+const maxPeers = 4
 
 // peers names some live entries, drawn by the map's order.
 func (s *Sidecar) peers() []string {
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -20,20 +20,26 @@
 // greet says hello to every sidecar now and then, and at once where new weights
 // were named.
 func (f *Front) greet(ctx context.Context) error {
-	for ctx.Err() == nil {
-		count := f.helloAll()
+	for round := 0; ctx.Err() == nil; round++ {
+		count := f.helloAll(round%farRounds == 0)
 		pause := max(greetTime, time.Duration(count)*time.Second/greetRate)
 		select {
 		case <-ctx.Done():
 		case <-f.wake:
+			round = -1
 		case <-time.After(pause):
 		}
 	}
 	return ctx.Err()
 }
 
-// helloAll greets the sidecars of all engines and returns how many there are.
-func (f *Front) helloAll() int {
+// farRounds is how many rounds of greetings pass between two to other data
+// centres, which are seldom chosen and whose bytes are dear.
+const farRounds = 3
+
+// helloAll greets the sidecars of the data centre's engines, or of all, and
+// returns how many that were.
+func (f *Front) helloAll(far bool) int {
 	named := f.board.Named()
 	count := 0
 	catalog := f.catalog.Load()
@@ -46,7 +52,7 @@
 		}
 		engines := turns(f.roster.View().Service(service.GetName()), named)
 		for place, engine := range engines {
-			if f.roster.View().Replaced(engine) {
+			if f.roster.View().Replaced(engine) || !far && engine.GetDatacentre() != f.site.GetDatacentre() {
 				continue
 			}
 			hello := &fleetv1.Hello{
