Say in the log which targets lost a choice and why none could be chosen

Cause: a line named the chosen target only, and a refusal without a target gave no reason. Change: the next three targets with their costs, the counts behind a refusal, the time to the first byte; candidates without an allocation each and by service.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/placement/mtholder"
 )
@@ -31,7 +33,9 @@
 
 	mu      sync.Mutex
 	records map[string]*record
-	named   map[string]naming
+	// services are the records by service, in the order of their hashes.
+	services map[string][]*record
+	named    map[string]naming
 }
 
 // naming are a model's newest weights, and when this process heard of each of
@@ -73,6 +77,7 @@
 // record is what the entry knows of one target.
 type record struct {
 	target *fleetv1.Target
+	hash   uint64
 
 	// pending are the prompt tokens sent and not yet read; running the requests
 	// of this entry under way.
@@ -132,7 +137,7 @@
 	for id, target := range targets {
 		r := b.records[id]
 		if r == nil {
-			b.records[id] = &record{target: target}
+			b.records[id] = &record{target: target, hash: xxh3.HashString(id)}
 			continue
 		}
 		if r.target.GetAddress() != target.GetAddress() {
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -27,6 +27,7 @@
 	cost     time.Duration
 
 	since   time.Time
+	lost    []loser
 	started bool
 	ended   bool
 }
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -114,37 +114,69 @@
 func (b *Board) Choose(q *Query) *Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var best *Choice
-	matches := map[int64]map[string]mtholder.Match{}
-	home := b.home(q)
-	newest := q.model() != "" && b.anyNewest(q)
-	for id, r := range b.records {
-		if r.target.GetService() != q.service.GetName() || q.excluded[id] || !r.usable() {
+	w := b.weighing(q)
+	var best, c Choice
+	for _, r := range b.services[q.service.GetName()] {
+		c = Choice{board: b, record: r, query: q, id: r.target.GetId()}
+		if q.excluded[c.id] || !r.usable() || !w.weigh(&c) {
 			continue
 		}
-		c := &Choice{board: b, record: r, query: q, id: id}
-		if q.model() != "" {
-			c.version = r.weights(q.model())
-			if b.outdated(q.model(), c.version, newest) {
-				continue
-			}
-			c.salt = q.salt(c.version)
-			c.settled = b.named[q.model()].settled() > settleTime
-			if matches[c.version] == nil {
-				matches[c.version] = b.holders.Matches(c.salt, q.ask.GetParts())
-			}
-			b.weigh(c, matches[c.version], id == home)
-		} else {
-			b.weighPlain(c)
-		}
-		if best == nil || c.cost < best.cost {
+		if best.record == nil || c.cost < best.cost {
+			c.lost = best.followed()
 			best = c
+		} else {
+			best.lose(&c)
 		}
 	}
-	if best != nil {
-		best.begin()
+	if best.record == nil {
+		return nil
+	}
+	best.begin()
+	return &best
+}
+
+// weighing is what all candidates of one choice share.
+type weighing struct {
+	board   *Board
+	query   *Query
+	home    string
+	newest  bool
+	settled bool
+	salts   map[int64]string
+	matches map[int64]map[string]mtholder.Match
+}
+
+func (b *Board) weighing(q *Query) *weighing {
+	w := &weighing{board: b, query: q}
+	if q.model() == "" {
+		return w
+	}
+	w.home = b.home(q)
+	w.newest = b.anyNewest(q)
+	w.settled = b.named[q.model()].settled() > settleTime
+	w.salts = map[int64]string{}
+	w.matches = map[int64]map[string]mtholder.Match{}
+	return w
+}
+
+// weigh sets a candidate's cost; it reports whether the candidate may be chosen.
+func (w *weighing) weigh(c *Choice) bool {
+	q := w.query
+	if q.model() == "" {
+		w.board.weighPlain(c)
+		return true
+	}
+	c.version = c.record.weights(q.model())
+	if w.board.outdated(q.model(), c.version, w.newest) {
+		return false
+	}
+	if w.matches[c.version] == nil {
+		w.salts[c.version] = q.salt(c.version)
+		w.matches[c.version] = w.board.holders.Matches(w.salts[c.version], q.ask.GetParts())
 	}
-	return best
+	c.salt, c.settled = w.salts[c.version], w.settled
+	w.board.weigh(c, w.matches[c.version], c.id == w.home)
+	return true
 }
 
 // usable says that the target may be given requests at all.
@@ -164,12 +196,12 @@
 	}
 	part := parts[len(parts)-1].GetId()
 	best, home := uint64(0), ""
-	for id, r := range b.records {
-		if r.target.GetService() != q.service.GetName() || r.target.GetDatacentre() != b.datacentre || !r.usable() || r.astray(q) {
+	for _, r := range b.services[q.service.GetName()] {
+		if r.target.GetDatacentre() != b.datacentre || !r.usable() || r.astray(q) {
 			continue
 		}
-		if score := xxh3.HashString(part + "/" + id); home == "" || score > best {
-			best, home = score, id
+		if score := xxh3.HashStringSeed(part, r.hash); home == "" || score > best {
+			best, home = score, r.target.GetId()
 		}
 	}
 	return home
@@ -312,8 +344,8 @@
 // anyNewest says that some usable target of the service has the newest weights.
 func (b *Board) anyNewest(q *Query) bool {
 	version := b.named[q.model()].weights.GetVersion()
-	for _, r := range b.records {
-		if r.target.GetService() == q.service.GetName() && r.usable() && r.weights(q.model()) >= version {
+	for _, r := range b.services[q.service.GetName()] {
+		if r.usable() && r.weights(q.model()) >= version {
 			return true
 		}
 	}
--- a/internal/placement/mtboard/lane.go
+++ b/internal/placement/mtboard/lane.go
@@ -1,10 +1,9 @@
 package mtboard
 
 import (
+	"cmp"
 	"slices"
 	"time"
-
-	"github.com/zeebo/xxh3"
 )
 
 // Long prompts among streams of short ones: while an engine reads a long prompt,
@@ -26,19 +25,20 @@
 
 // divide assigns the engines of each service and data centre to lanes.
 func (b *Board) divide() {
-	groups := map[[2]string][]*record{}
+	b.services = map[string][]*record{}
 	for _, r := range b.records {
-		k := [2]string{r.target.GetService(), r.target.GetDatacentre()}
-		groups[k] = append(groups[k], r)
+		service := r.target.GetService()
+		b.services[service] = append(b.services[service], r)
+	}
+	groups := map[[2]string][]*record{}
+	for service, records := range b.services {
+		slices.SortFunc(records, func(x, y *record) int { return cmp.Compare(x.hash, y.hash) })
+		for _, r := range records {
+			k := [2]string{service, r.target.GetDatacentre()}
+			groups[k] = append(groups[k], r)
+		}
 	}
 	for _, group := range groups {
-		slices.SortFunc(group, func(x, y *record) int {
-			a, b := xxh3.HashString(x.target.GetId()), xxh3.HashString(y.target.GetId())
-			if a < b {
-				return -1
-			}
-			return 1
-		})
 		short := int(float64(len(group))*shortShare + 0.5)
 		for i, r := range group {
 			r.short = i < short
--- a/internal/relay/mtfront/deliver.go
+++ b/internal/relay/mtfront/deliver.go
@@ -240,7 +240,7 @@
 	r.front.histogram(`answer_seconds{route="` + r.route.GetName() + `"}`).Observe(time.Since(r.begun))
 	r.front.trail.Metrics().Add(`requests_total{route="`+r.route.GetName()+`",status="`+strconv.Itoa(status)+`"}`, 1)
 	r.front.trail.Say(mtkind.RequestDone, append(r.fields(), zap.String("target", choice.Target()),
-		zap.Int("status", status), zap.Int("bytes", size), zap.Duration("took", time.Since(r.begun)))...)
+		zap.Int("status", status), zap.Int("bytes", size), zap.Duration("first", r.first), zap.Duration("took", time.Since(r.begun)))...)
 }
 
 // drain reads an answer that nobody gets, so that its connection can be kept.
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -69,6 +69,7 @@
 		choice.End(mtboard.Rejected{Answer: answer})
 		return rejected{why: "the target did not run it: " + response.Status}
 	}
+	r.first = time.Since(r.begun)
 	choice.Started(answer)
 	r.notify(choice, true)
 	r.front.histogram(`first_byte_seconds{route="` + r.route.GetName() + `"}`).Observe(time.Since(r.begun))
@@ -146,6 +147,6 @@
 		zap.String("target", choice.Target()), zap.Int("try", r.tries),
 		zap.Int64("weights", choice.Version()), zap.Int64("prompt", r.ask.GetPrompt()),
 		zap.Int64("cached", choice.Matched()), zap.String("fetch", choice.Fetch()),
-		zap.Duration("cost", choice.Cost()), zap.Bool("kept", link.Reused()),
+		zap.Duration("cost", choice.Cost()), zap.String("next", choice.Losers()), zap.Bool("kept", link.Reused()),
 		zap.Int64("configuration", r.front.catalog.Load().Version()))...)
 }
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -43,6 +43,8 @@
 	uri     string
 
 	begun time.Time
+	// first is the time to the first byte of the last answer.
+	first time.Duration
 	until time.Time
 	// tries are the targets that the request was sent to; unreached those to
 	// which nothing could be sent.
@@ -167,7 +169,7 @@
 	allowance := r.front.allowance(r.service.GetName())
 	allowance.Request()
 	query := mtboard.NewQuery(r.service, r.ask, r.account, r.front.catalog.Load().Cache(r.front.site.GetDatacentre()))
-	var last result = rejected{why: "no target is known"}
+	var last result = rejected{}
 	for r.mayTry(last) {
 		if r.tries > 0 && !allowance.Take(r.front.board.Entries()) {
 			r.front.trail.Metrics().Add("retries_denied_total", 1)
@@ -175,6 +177,9 @@
 		}
 		choice := r.front.board.Choose(query)
 		if choice == nil {
+			if r.tries == 0 && r.unreached == 0 {
+				last = rejected{why: "no target can take it; " + r.front.board.Lacks(query)}
+			}
 			break
 		}
 		query.Exclude(choice.Target())
