--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -118,7 +118,8 @@
 // Ready says that the entry can serve: it knows a configuration and targets, and
 // was not told to stop.
 func (f *Front) Ready() bool {
-	return !f.stopping.Load() && f.catalog.Load() != nil && len(f.roster.View().All()) > 0
+	view := f.roster.View()
+	return !f.stopping.Load() && f.catalog.Load() != nil && view.Complete() > 0 && len(view.All()) > 0
 }
 
 // ServeReady answers the balancer.
