--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
 
-.PHONY: build test format lint vet unit generate proofs measure overhead run-local bench docs capacity
+.PHONY: build test format lint vet unit generate proofs measure overhead run-local bench docs capacity soak
 
 build:
 	go build -o $(BIN)/ . ./cmd/...
@@ -29,6 +29,10 @@
 measure:
 	@MEASURE=$${MEASURE:-all} go test -count=1 -timeout 20m -v -run '^TestMeasure$$' ./internal/lab/mtlab | grep -P '\t'
 
+# Real processes under faults, for the given seeds; docs/SOAK.md.
+soak:
+	SOAK=$${SEEDS:-1-50} go test -count=1 -timeout 30m -run '^TestSoak$$' ./platform/standin/mtsoak
+
 # What entry and sidecar add to a direct call, on loopback, in one run.
 overhead:
 	go test -run '^$$' -bench Overhead -benchtime 1x ./internal/lab/mtoverhead | grep -v '^INFO'
