--- /dev/null
+++ b/internal/placement/mtboard/query.go
@@ -0,0 +1,62 @@
+package mtboard
+
+import (
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+)
+
+// Query is what a request needs of a target.
+type Query struct {
+	service  *fleetv1.Service
+	ask      *fleetv1.Ask
+	account  *fleetv1.Account
+	excluded map[string]bool
+	// cache is the address of a store of cached parts, or "".
+	cache string
+}
+
+// NewQuery describes a request of an account for a service; account may be nil.
+// cache is the address of a store of cached parts, "" where there is none.
+func NewQuery(service *fleetv1.Service, ask *fleetv1.Ask, account *fleetv1.Account, cache string) *Query {
+	return &Query{service: service, ask: ask, account: account, excluded: map[string]bool{}, cache: cache}
+}
+
+// Exclude leaves a target out of later choices.
+func (q *Query) Exclude(target string) { q.excluded[target] = true }
+
+// model is set where the service runs model engines and the request names one.
+func (q *Query) model() string {
+	if q.service.GetModel() == "" {
+		return ""
+	}
+	if q.ask.GetModel() != "" {
+		return q.ask.GetModel()
+	}
+	return q.service.GetModel()
+}
+
+// shared are the parts that other requests may have too: all but the last,
+// which is the request's own.
+func (q *Query) shared() []*fleetv1.Part {
+	parts := q.ask.GetParts()
+	if len(parts) == 0 {
+		return nil
+	}
+	return parts[:len(parts)-1]
+}
+
+func (q *Query) sharedTokens() int64 {
+	var tokens int64
+	for _, part := range q.shared() {
+		tokens += part.GetTokens()
+	}
+	return tokens
+}
+
+// salt separates cached prompts of other models, weights and isolated accounts.
+func (q *Query) salt(version int64) string {
+	salt := q.model() + "@" + itoa(version)
+	if q.account.GetIsolated() {
+		salt += "@" + q.account.GetName()
+	}
+	return salt
+}
--- /dev/null
+++ b/internal/relay/mtbeside/tell.go
@@ -0,0 +1,119 @@
+package mtbeside
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+)
+
+// hear takes in an entry's word and answers it.
+func (s *Sidecar) hear(from string, data []byte) {
+	hello := &fleetv1.Hello{}
+	if err := unmarshal(data, hello); err != nil || hello.GetTarget() == "" {
+		return
+	}
+	s.mu.Lock()
+	e := s.entries[from]
+	if e == nil {
+		e = &entry{}
+		s.entries[from] = e
+	}
+	e.last, e.pending = time.Now(), hello.GetPending()
+	s.target = hello.GetTarget()
+	if hello.GetTotal() > 0 {
+		s.place, s.total = hello.GetPlace(), hello.GetTotal()
+	}
+	for _, weights := range hello.GetWeights() {
+		s.name(weights, "entry "+hello.GetEntry())
+	}
+	states := s.answer(from, hello)
+	shifted := s.shifted()
+	s.mu.Unlock()
+	for _, state := range states {
+		s.tell(state, from)
+	}
+	if shifted {
+		s.tellAll()
+	}
+}
+
+// burst bounds the states that answer one hello: an entry that knows nothing yet
+// hears of an engine's whole cache in two or three.
+const burst = 8
+
+// answer returns the states that tell an entry all that it does not know, as
+// many as go at once; the sidecar is locked.
+func (s *Sidecar) answer(from string, hello *fleetv1.Hello) []*fleetv1.State {
+	var states []*fleetv1.State
+	epoch, since := hello.GetEpoch(), hello.GetSince()
+	for len(states) < burst {
+		state := s.state(from)
+		s.held.Fill(state, epoch, since)
+		states = append(states, state)
+		if !state.GetMore() {
+			break
+		}
+		epoch, since = state.GetEpoch(), state.GetUpto()
+	}
+	for _, state := range states[:len(states)-1] {
+		// Only the last asks for another hello.
+		state.More = false
+	}
+	return states
+}
+
+// name takes in named weights; the sidecar is locked.
+func (s *Sidecar) name(weights *fleetv1.Weights, source string) {
+	if s.plan.Name(weights, s.place, s.total) {
+		s.trail.Say(mtkind.WeightsNamed, zap.String("model", weights.GetModel()),
+			zap.Int64("version", weights.GetVersion()), zap.Int64("revision", weights.GetRevision()),
+			zap.Uint32("place", s.place), zap.Uint32("total", s.total), zap.String("from", source))
+	}
+}
+
+// state is what the entries are told; the sidecar is locked. A state without
+// changes of the cache says so by its numbers.
+func (s *Sidecar) state(to string) *fleetv1.State {
+	s.number++
+	return &fleetv1.State{
+		Target:   s.target,
+		Report:   s.report,
+		Answers:  s.failed < lostAfter,
+		Ordering: s.plan.Ordering(s.report),
+		Entries:  uint32(s.live()),
+		Number:   s.number,
+		Named:    s.plan.Named(),
+		Epoch:    s.held.Epoch(),
+		Peers:    s.peers(),
+		Pending:  s.pending() - s.entries[to].given(),
+	}
+}
+
+// tellAll tells every live entry at once: something has changed on which they
+// choose.
+func (s *Sidecar) tellAll() {
+	s.mu.Lock()
+	if s.target == "" {
+		s.mu.Unlock()
+		return
+	}
+	s.spread = s.pending()
+	states := map[string]*fleetv1.State{}
+	for from := range s.entries {
+		states[from] = s.state(from)
+	}
+	s.mu.Unlock()
+	for from, state := range states {
+		s.tell(state, from)
+	}
+}
+
+// tell sends the state; one that is lost is made up for by the next.
+func (s *Sidecar) tell(state *fleetv1.State, to string) {
+	if err := s.socket.Send(to, &fleetv1.Word{Word: &fleetv1.Word_State{State: state}}); err != nil {
+		s.trail.Metrics().Add("state_send_failures_total", 1)
+	}
+}
