Send the less urgent away while even the best target would be late

Change: mtshed judges the estimate of the best target: less urgent requests go at 0.8 of their aim, urgent ones at 1.4, only where others wait there, and come back when the queue should be down; who comes back is taken in.

--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -24,6 +24,8 @@
 	settled  bool
 	reads    int64
 	estimate time.Duration
+	expected time.Duration
+	wait     time.Duration
 	cost     time.Duration
 
 	since   time.Time
@@ -73,6 +75,12 @@
 // Cost is the estimate by which the target was chosen.
 func (c *Choice) Cost() time.Duration { return c.cost }
 
+// Estimate is the expected time to the first byte.
+func (c *Choice) Estimate() time.Duration { return c.expected }
+
+// Wait is the part of it behind others' prompts.
+func (c *Choice) Wait() time.Duration { return c.wait }
+
 // Matched is what the target is believed to hold of the prompt, in tokens.
 func (c *Choice) Matched() int64 { return c.matched }
 
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -65,6 +65,8 @@
 	}
 	c.estimate = cost
 	cost = time.Duration(float64(cost) * r.pace.now())
+	c.expected = cost
+	c.wait = time.Duration(float64(time.Duration(r.queued())*tokenTime) * r.pace.now())
 	cost += time.Duration(r.others()+r.running) * stepTime
 	if r.target.GetDatacentre() != b.datacentre {
 		cost += apartTime
--- a/internal/relay/mtfront/deliver.go
+++ b/internal/relay/mtfront/deliver.go
@@ -149,8 +149,11 @@
 	buffer := make([]byte, copySize)
 	var pending []byte
 	count := 0
+	last := time.Now()
 	for {
 		n, err := from.Read(buffer)
+		r.pause = max(r.pause, time.Since(last))
+		last = time.Now()
 		chunk := buffer[:n]
 		if r.delivered != nil {
 			pending = append(pending, chunk...)
@@ -240,7 +243,7 @@
 	r.front.histogram(`answer_seconds{route="` + r.route.GetName() + `"}`).Observe(time.Since(r.begun))
 	r.front.trail.Metrics().Add(`requests_total{route="`+r.route.GetName()+`",status="`+strconv.Itoa(status)+`"}`, 1)
 	r.front.trail.Say(mtkind.RequestDone, append(r.fields(), zap.String("target", choice.Target()),
-		zap.Int("status", status), zap.Int("bytes", size), zap.Duration("first", r.first), zap.Duration("took", time.Since(r.begun)))...)
+		zap.Int("status", status), zap.Int("bytes", size), zap.Duration("first", r.first), zap.Duration("pause", r.pause), zap.Duration("took", time.Since(r.begun)))...)
 }
 
 // drain reads an answer that nobody gets, so that its connection can be kept.
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtshed"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
@@ -45,6 +47,8 @@
 	begun time.Time
 	// first is the time to the first byte of the last answer.
 	first time.Duration
+	// pause is the longest time between two parts of a stream.
+	pause time.Duration
 	until time.Time
 	// tries are the targets that the request was sent to; unreached those to
 	// which nothing could be sent.
@@ -182,6 +186,11 @@
 			}
 			break
 		}
+		if verdict := r.judge(choice); verdict.Refused() {
+			choice.End(mtboard.Left{})
+			r.reject(fmt.Sprintf("overloaded: the best target would begin to answer after %v", choice.Estimate().Round(time.Millisecond)), verdict.Again())
+			return
+		}
 		query.Exclude(choice.Target())
 		last = r.send(ctx, choice)
 		r.log(choice, last)
@@ -192,6 +201,15 @@
 	r.end(last)
 }
 
+// judge decides whether the request is sent away for now. What has run in part is
+// not.
+func (r *request) judge(choice *mtboard.Choice) mtshed.Verdict {
+	if r.delivered != nil || r.tries > 0 {
+		return mtshed.Verdict{}
+	}
+	return mtshed.Decide(r.rank(), choice.Estimate(), choice.Wait(), r.route.GetAim().AsDuration(), time.Until(r.until), r.route.GetTimeout().AsDuration())
+}
+
 // mayTry says whether another target may get the request.
 func (r *request) mayTry(last result) bool {
 	if r.unreached > maxUnreached || r.tries >= int(r.route.GetAttempts()) {
