Bound what a fleet's own traffic takes: greetings, asks of peers, lists in pages

Change: 60 greetings a second and entry instead of 200; caches of 24 engines followed, near ones first; 12 entries told at once of a load; a peer is asked only after one's own calls had 0.9 s, or while the store is away; a list goes on at the page that failed and is watched from its first page's revision.

--- a/internal/members/mtfollow/follow.go
+++ b/internal/members/mtfollow/follow.go
@@ -24,7 +24,8 @@
 
 // Source is a kind of objects in the store; C is its type of change.
 type Source[C any] interface {
-	List(ctx context.Context) ([]C, int64, error)
+	// List reads a page after a name, and returns where the next begins.
+	List(ctx context.Context, after string) ([]C, string, int64, error)
 	Watch(ctx context.Context, after int64, wait time.Duration) ([]C, int64, error)
 }
 
@@ -61,6 +62,11 @@
 	source   Source[C]
 	sink     Sink[C]
 	revision int64
+	// listed are the pages read so far, after where the next begins, and first the
+	// revision of the first.
+	listed   []C
+	after    string
+	first    int64
 	pause    time.Duration
 	failures int
 	away     bool
@@ -69,14 +75,7 @@
 // step makes one call.
 func (f *follower[C]) step(ctx context.Context) error {
 	if f.revision == unknown {
-		list, revision, err := f.source.List(ctx)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		f.answered()
-		f.sink.Replace(list, revision)
-		f.revision = revision
-		return nil
+		return f.list(ctx)
 	}
 	bound := f.sink.Wait()
 	if f.away {
@@ -98,6 +97,28 @@
 	return nil
 }
 
+// list reads one page. A page that fails is asked for again, not all before it:
+// when a whole fleet restarts, the store turns many calls away, and lists begun
+// anew each time would never end. Watching goes on from the first page's
+// revision, as later ones may miss what changed on earlier pages.
+func (f *follower[C]) list(ctx context.Context) error {
+	page, next, revision, err := f.source.List(ctx, f.after)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	f.answered()
+	if f.after == "" {
+		f.listed, f.first = nil, revision
+	}
+	f.listed = append(f.listed, page...)
+	f.after = next
+	if next == "" {
+		f.sink.Replace(f.listed, f.first)
+		f.revision, f.listed = f.first, nil
+	}
+	return nil
+}
+
 func (f *follower[C]) answered() {
 	f.failures = 0
 	f.pause = firstPause
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -90,9 +90,10 @@
 	loaded  *fleetv1.Answer
 	loadAge time.Time
 
-	// epoch and upto say which of the cache's changes are taken in.
-	epoch int64
-	upto  uint64
+	// followed says that the engine's cache is followed; epoch and upto say which of the cache's changes are taken in.
+	followed bool
+	epoch    int64
+	upto     uint64
 
 	faults faults
 	pace   pace
@@ -189,7 +190,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.records[hello.GetTarget()]; r != nil {
-		hello.Epoch, hello.Since, hello.Pending = r.epoch, r.upto, r.pending
+		hello.Epoch, hello.Since, hello.Pending, hello.Bare = r.epoch, r.upto, r.pending, !r.followed
 	}
 }
 
--- a/internal/placement/mtboard/lane.go
+++ b/internal/placement/mtboard/lane.go
@@ -33,6 +33,7 @@
 	groups := map[[2]string][]*record{}
 	for service, records := range b.services {
 		slices.SortFunc(records, func(x, y *record) int { return cmp.Compare(x.hash, y.hash) })
+		b.follow(records)
 		for _, r := range records {
 			k := [2]string{service, r.target.GetDatacentre()}
 			groups[k] = append(groups[k], r)
@@ -46,6 +47,26 @@
 	}
 }
 
+// maxFollowed bounds the engines of a service whose caches an entry follows: at
+// 140 parts an engine and 50 bytes a part, what a restarted entry is told stays
+// below a quarter of a second on a link of 10 Mbit/s.
+const maxFollowed = 24
+
+// follow chooses whose caches are followed: those of the entry's data centre
+// first.
+func (b *Board) follow(records []*record) {
+	count := 0
+	for _, near := range []bool{true, false} {
+		for _, r := range records {
+			if (r.target.GetDatacentre() == b.datacentre) != near {
+				continue
+			}
+			r.followed = count < maxFollowed
+			count++
+		}
+	}
+}
+
 // long says that the request belongs to the long lane.
 func (q *Query) long() bool { return q.ask.GetPrompt() >= longPrompt }
 
--- a/internal/relay/mtbeside/entries.go
+++ b/internal/relay/mtbeside/entries.go
@@ -61,6 +61,11 @@
 // about 50 ms of an engine's reading, which changes a choice.
 const shiftLeast = 1500
 
+// maxShifted bounds the entries that are told of it at once; in a larger fleet
+// the others hear with the answer to their next hello, so that what a sidecar
+// sends does not grow with the entries.
+const maxShifted = 12
+
 // shifted says that the pending tokens have changed much since the entries were
 // told.
 func (s *Sidecar) shifted() bool {
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -36,9 +36,9 @@
 	// lostAfter is how many calls in a row must fail before the engine counts as
 	// lost: one may meet a connection that the engine has just closed.
 	lostAfter = 2
-	// entryTime is how long an entry counts as live after its last word: eight of
-	// its usual intervals.
-	entryTime = 2 * time.Second
+	// entryTime is how long an entry counts as live after its last word: five of
+	// the intervals at which it greets another data centre's engines.
+	entryTime = 4 * time.Second
 	// aloneTime is the silence of all entries after which the store is asked for
 	// the weights, and how often then.
 	aloneTime = 2 * time.Second
@@ -134,7 +134,8 @@
 		if ctx.Err() != nil || s.heardLately() {
 			continue
 		}
-		list, _, err := s.store.Weights().List(ctx)
+		// One page: a fleet has some ten models.
+		list, _, _, err := s.store.Weights().List(ctx, "")
 		if err != nil {
 			s.trail.Warn(mtkind.StoreLost, zap.String("kind", "weights"), zap.Error(err))
 			continue
--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -1,6 +1,7 @@
 package mtbeside
 
 import (
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,13 +37,13 @@
 		s.tell(state, from)
 	}
 	if shifted {
-		s.tellAll()
+		s.tellSome(maxShifted)
 	}
 }
 
 // burst bounds the states that answer one hello: an entry that knows nothing yet
 // hears of an engine's whole cache in two or three.
-const burst = 8
+const burst = 4
 
 // answer returns the states that tell an entry all that it does not know, as
 // many as go at once; the sidecar is locked.
@@ -51,6 +52,9 @@
 	epoch, since := hello.GetEpoch(), hello.GetSince()
 	for len(states) < burst {
 		state := s.state(from)
+		if hello.GetBare() {
+			return append(states, state)
+		}
 		s.held.Fill(state, epoch, since)
 		states = append(states, state)
 		if !state.GetMore() {
@@ -94,7 +98,10 @@
 
 // tellAll tells every live entry at once: something has changed on which they
 // choose.
-func (s *Sidecar) tellAll() {
+func (s *Sidecar) tellAll() { s.tellSome(math.MaxInt) }
+
+// tellSome tells at most so many of them, drawn by the map's order.
+func (s *Sidecar) tellSome(most int) {
 	s.mu.Lock()
 	if s.target == "" {
 		s.mu.Unlock()
@@ -103,6 +110,9 @@
 	s.spread = s.pending()
 	states := map[string]*fleetv1.State{}
 	for from := range s.entries {
+		if len(states) == most {
+			break
+		}
 		states[from] = s.state(from)
 	}
 	s.mu.Unlock()
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -51,7 +51,9 @@
 	live     atomic.Int64
 	wake     chan struct{}
 	spread   chan struct{}
-	learn    chan string
+	learn    chan ahead
+	// away counts the kinds of objects for which the store does not answer.
+	away atomic.Int32
 
 	histograms sync.Map
 
@@ -75,7 +77,7 @@
 		roster:     mtroster.New(),
 		wake:       make(chan struct{}, 1),
 		spread:     make(chan struct{}, 1),
-		learn:      make(chan string, 1),
+		learn:      make(chan ahead, 1),
 		suspects:   mtquarantine.After(crashes),
 		asker:      &http.Client{Transport: network.Outside(), Timeout: askTime},
 		allowances: map[string]*mtallowance.Allowance{},
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -12,10 +12,10 @@
 	"github.com/mustardtide/mustardtide/internal/relay/mtbeside"
 )
 
-// greetRate bounds the greetings that an entry sends in a second: with 25 µs a
-// datagram they and their answers stay below a hundredth of a core. In a larger
-// fleet each sidecar hears from an entry less often.
-const greetRate = 200
+// greetRate bounds the greetings that an entry sends in a second: with their
+// answers about 400 bytes each, 24 KB a second. In a larger fleet each sidecar
+// hears from an entry less often.
+const greetRate = 60
 
 // greet says hello to every sidecar now and then, and at once where new weights
 // were named.
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -183,10 +183,12 @@
 }
 
 func (f *Front) lost(kind string, err error) {
+	f.away.Add(1)
 	f.trail.Warn(mtkind.StoreLost, zap.String("kind", kind), zap.Error(err))
 }
 
 func (f *Front) back(kind string) {
+	f.away.Add(-1)
 	f.trail.Warn(mtkind.StoreBack, zap.String("kind", kind))
 }
 
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -36,9 +36,12 @@
 	quick = 2
 	// digestTime is how often entries tell each other how far they know.
 	digestTime = 300 * time.Millisecond
-	// ownTime is how long an entry waits for its own watch before it asks a peer
-	// that knows more: the watches of both are usually answered together.
-	ownTime = 40 * time.Millisecond
+	// ownTime is how long an entry waits for its own calls before it asks a peer
+	// that knows more: usually both hear together, and after a restart of all a
+	// list of thousands of targets from each side would fill a small link. awayTime
+	// is the same while the store does not answer.
+	ownTime  = 900 * time.Millisecond
+	awayTime = 40 * time.Millisecond
 	// askTime bounds that call.
 	askTime = 700 * time.Millisecond
 	// peerPort is the offset of the port on which entries answer each other.
@@ -113,12 +116,18 @@
 	}
 	if f.knowsLess(digest) {
 		select {
-		case f.learn <- from:
+		case f.learn <- ahead{from, digest}:
 		default:
 		}
 	}
 }
 
+// ahead is an entry that knows more, and how far it knows.
+type ahead struct {
+	from   string
+	digest *fleetv1.Digest
+}
+
 // knowsLess says that another entry has a newer configuration, or a newer list
 // that differs.
 func (f *Front) knowsLess(digest *fleetv1.Digest) bool {
@@ -136,13 +145,27 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case from := <-f.learn:
-			time.Sleep(ownTime)
-			f.ask(ctx, from)
+		case a := <-f.learn:
+			f.waitForOwn(ctx)
+			if ctx.Err() == nil && f.knowsLess(a.digest) {
+				f.ask(ctx, a.from)
+			}
 		}
 	}
 }
 
+// waitForOwn gives the entry's own calls to the store the time to tell.
+func (f *Front) waitForOwn(ctx context.Context) {
+	wait := ownTime
+	if f.away.Load() > 0 {
+		wait = awayTime
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
 // ask takes over what another entry knows. What is older changes nothing.
 func (f *Front) ask(ctx context.Context, from string) {
 	address := net.JoinHostPort(host(from), strconv.Itoa(int(f.site.GetFirstport()+peerPort)))
