--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -25,7 +25,7 @@
 	// quickWatch is how long the watches of the entries that look often wait: a
 	// change must be in force two seconds after the third second from the store's
 	// return, and a swallowed watch ends 0.8 s after its time.
-	quickWatch = 2500 * time.Millisecond
+	quickWatch = 2200 * time.Millisecond
 	// slowWatch is the same for the others.
 	slowWatch = 15 * time.Second
 	// quickGather and slowGather are how long changes gather: short beside the two
@@ -37,11 +37,13 @@
 	// digestTime is how often entries tell each other how far they know.
 	digestTime = 300 * time.Millisecond
 	// ownTime is how long an entry waits for its own calls before it asks a peer
-	// that knows more: usually both hear together, and after a restart of all a
-	// list of thousands of targets from each side would fill a small link. awayTime
-	// is the same while the store does not answer.
-	ownTime  = 900 * time.Millisecond
-	awayTime = 40 * time.Millisecond
+	// that knows more: usually both hear together. startTime is the same while it
+	// has no complete list yet: after a restart of all, lists of thousands of
+	// targets from each side would fill a small link. awayTime is the same while
+	// the store does not answer.
+	ownTime   = 120 * time.Millisecond
+	startTime = 900 * time.Millisecond
+	awayTime  = 40 * time.Millisecond
 	// askTime bounds that call.
 	askTime = 700 * time.Millisecond
 	// peerPort is the offset of the port on which entries answer each other.
@@ -157,8 +159,11 @@
 // waitForOwn gives the entry's own calls to the store the time to tell.
 func (f *Front) waitForOwn(ctx context.Context) {
 	wait := ownTime
-	if f.away.Load() > 0 {
+	switch {
+	case f.away.Load() > 0:
 		wait = awayTime
+	case f.roster.View().Complete() == 0:
+		wait = startTime
 	}
 	select {
 	case <-ctx.Done():
