--- a/internal/observe/mtsink/sink_test.go
+++ b/internal/observe/mtsink/sink_test.go
@@ -27,6 +27,7 @@
 		go func() { ended <- sink.Run(ctx) }()
 		_, _ = sink.Write([]byte("one\n"))
 		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
 		g.Expect(out.String()).To(Equal("one\n"))
 		_, _ = sink.Write([]byte("two\n"))
 		cancel()
--- a/internal/relay/mtlink/link_test.go
+++ b/internal/relay/mtlink/link_test.go
@@ -21,14 +21,19 @@
 	listener net.Listener
 	dials    int
 	pool     *mtlink.Pool
+	// scripts are the answers on one connection after another, in their order.
+	scripts chan []string
 }
 
+// hang ends an exchange that would wait for ever.
+const hang = 20 * time.Second
+
 func newTarget(t *testing.T) *target {
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { listener.Close() })
-	o := &target{g: g, listener: listener}
+	o := &target{g: g, listener: listener, scripts: make(chan []string, 8)}
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}
@@ -39,31 +44,38 @@
 func (o *target) address() string { return o.listener.Addr().String() }
 
 // accept takes the next connection and answers each request with the next text.
+// Connections are taken in the order of the calls.
 func (o *target) accept(answers ...string) {
+	o.scripts <- answers
 	go func() {
 		conn, err := o.listener.Accept()
 		if err != nil {
 			return
 		}
-		defer conn.Close()
-		reader := bufio.NewReader(conn)
-		for _, answer := range answers {
-			request, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, request.Body)
-			_, _ = io.WriteString(conn, answer)
-		}
-		// What is left of the connection's life is the caller's to end.
-		_, _ = io.Copy(io.Discard, reader)
+		o.answer(conn, <-o.scripts)
 	}()
 }
 
+func (o *target) answer(conn net.Conn, answers []string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, answer := range answers {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, answer)
+	}
+	// What is left of the connection's life is the caller's to end.
+	_, _ = io.Copy(io.Discard, reader)
+}
+
 // exchange sends one request and reads its answer to the end.
 func (o *target) exchange(id string) (string, error) {
 	link, err := o.pool.Take(context.Background(), o.address())
 	o.g.Expect(err).NotTo(HaveOccurred())
+	defer time.AfterFunc(hang, link.Close).Stop()
 	if err := link.Send(http.MethodGet, "/", "h", http.Header{"Id": {id}}, nil); err != nil {
 		link.Close()
 		return "", err
