Do once what was done twice on the platform's path

Ruled out: merging the two platform clients and the notice times of plan and sidecar, which would change what they do. Change: one piece for each; no behaviour, bound or assertion moved.

--- a/internal/admission/mtallowance/allowance.go
+++ b/internal/admission/mtallowance/allowance.go
@@ -57,8 +57,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.advance()
-	bound := margin * (a.ratio*sum(a.requests) + a.slack/float64(max(entries, fewest)))
-	if sum(a.repeats)+1 > bound {
+	if a.left(entries) < 1 {
 		return false
 	}
 	a.repeats[now]++
@@ -70,6 +69,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.advance()
+	return a.left(entries)
+}
+
+// left is the bound less what was spent; the allowance is locked.
+func (a *Allowance) left(entries int) float64 {
 	return margin*(a.ratio*sum(a.requests)+a.slack/float64(max(entries, fewest))) - sum(a.repeats)
 }
 
--- a/internal/members/mtfollow/follow.go
+++ b/internal/members/mtfollow/follow.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// probeTime is the same while the store is away.
+	// probeTime is how long a watch waits while the store is away.
 	probeTime = time.Millisecond
 	// firstPause and lastPause bound the wait after a failed call; half of each
 	// is random, so that a fleet does not return to the store as one. The last
--- a/internal/members/mtroster/roster.go
+++ b/internal/members/mtroster/roster.go
@@ -110,7 +110,11 @@
 	defer r.mu.Unlock()
 	if revision > r.complete {
 		r.complete = revision
-		r.publish()
+		// The list is the same: the view's maps, which do not change, serve on.
+		view := *r.view.Load()
+		view.number++
+		view.complete = revision
+		r.view.Store(&view)
 	}
 }
 
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -86,11 +86,12 @@
 	// state is the sidecar's last word.
 	state *fleetv1.State
 	heard time.Time
-	// load is what the target's last answer said of itself.
+	// loaded is what the target's last answer said of its load.
 	loaded  *fleetv1.Answer
 	loadAge time.Time
 
-	// followed says that the engine's cache is followed; epoch and upto say which of the cache's changes are taken in.
+	// followed says that the engine's cache is followed; epoch and upto say which
+	// of the cache's changes are taken in.
 	followed bool
 	epoch    int64
 	upto     uint64
--- a/internal/placement/mtholder/holder.go
+++ b/internal/placement/mtholder/holder.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// kept bounds the parts that are remembered: at about 200 bytes each, 2 MB.
+	// kept bounds the parts that are remembered: at about 200 bytes each, 3 MB.
 	kept = 16384
 	// holders bounds the targets remembered for one part; more add nothing, as
 	// one source is named for a fetch.
@@ -30,7 +30,8 @@
 	// keeping is how long a store counts as holding a part: it has several times
 	// an engine's memory.
 	keeping = 20 * time.Second
-	// told is the same where it has: a few events never come.
+	// told is how long a part counts as held where the target has told of it: a few
+	// events never come.
 	told = time.Minute
 )
 
--- a/internal/relay/mtbeside/engine.go
+++ b/internal/relay/mtbeside/engine.go
@@ -49,11 +49,7 @@
 
 // cacheEvents waits for changes of the engine's cache after a number.
 func (e *engine) cacheEvents(ctx context.Context, since int64) (*fleetv1.CacheEvents, error) {
-	header := http.Header{}
-	for name, value := range mtspeech.CacheEventsHeaders(eventsWait) {
-		header.Set(name, value)
-	}
-	status, body, err := e.call(ctx, http.MethodGet, mtspeech.CacheEventsPath(since), header, nil)
+	status, body, err := e.call(ctx, http.MethodGet, mtspeech.CacheEventsPath(since), mtspeech.CacheEventsHeaders(eventsWait), nil)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -70,11 +66,7 @@
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
-	header := http.Header{}
-	for name, value := range mtspeech.SwapHeaders(order) {
-		header.Set(name, value)
-	}
-	status, _, err := e.call(ctx, http.MethodPost, mtspeech.PathOrder, header, body)
+	status, _, err := e.call(ctx, http.MethodPost, mtspeech.PathOrder, mtspeech.SwapHeaders(order), body)
 	return status, trace.Wrap(err)
 }
 
@@ -105,11 +97,6 @@
 	return response.StatusCode, answer, nil
 }
 
-// unmarshal reads a datagram.
-func unmarshal(data []byte, into proto.Message) error {
-	return trace.Wrap(proto.Unmarshal(data, into))
-}
-
 // sameReport says that two reports differ in nothing on which entries choose
 // at once; the rest goes with the next answer to a hello.
 func sameReport(a, b *fleetv1.Report) bool {
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -62,7 +62,6 @@
 	total  uint32
 	report *fleetv1.Report
 	failed int
-	number uint64
 	// telling says that the entries were told of an order to come, since told.
 	telling bool
 	told    time.Time
--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
@@ -13,7 +14,7 @@
 // hear takes in an entry's word and answers it.
 func (s *Sidecar) hear(from string, data []byte) {
 	hello := &fleetv1.Hello{}
-	if err := unmarshal(data, hello); err != nil || hello.GetTarget() == "" {
+	if err := proto.Unmarshal(data, hello); err != nil || hello.GetTarget() == "" {
 		return
 	}
 	s.mu.Lock()
@@ -81,14 +82,12 @@
 // state is what the entries are told; the sidecar is locked. A state without
 // changes of the cache says so by its numbers.
 func (s *Sidecar) state(to string) *fleetv1.State {
-	s.number++
 	return &fleetv1.State{
 		Target:   s.target,
 		Report:   s.report,
 		Answers:  s.failed < lostAfter,
 		Ordering: s.plan.Ordering(s.report),
 		Entries:  uint32(s.live()),
-		Number:   s.number,
 		Named:    s.plan.Named(),
 		Epoch:    s.held.Epoch(),
 		Peers:    s.peers(),
--- a/internal/relay/mtfront/deliver.go
+++ b/internal/relay/mtfront/deliver.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return r.lost(ctx, choice, link, err)
 	}
-	if r.front.failedByTarget(response) {
+	if failedByTarget(response) {
 		choice.End(mtboard.Broken{})
 		if r.route.GetRepeat() == fleetv1.Repeat_REPEAT_SAFE && r.tries < int(r.route.GetAttempts()) &&
 			r.front.allowance(r.service.GetName()).Left(r.front.board.Entries()) >= 1 {
@@ -87,7 +87,7 @@
 }
 
 // failedByTarget says that the target itself failed the request.
-func (f *Front) failedByTarget(response *http.Response) bool {
+func failedByTarget(response *http.Response) bool {
 	return response.StatusCode >= http.StatusInternalServerError
 }
 
@@ -117,19 +117,11 @@
 	var gone *callerError
 	switch {
 	case errors.As(err, &gone):
-		link.Close()
-		choice.End(mtboard.Left{})
-		r.left("the caller does not read")
-		panic(http.ErrAbortHandler)
+		r.abandon(choice, link, "the caller does not read")
 	case err != nil && r.in.Context().Err() != nil:
-		link.Close()
-		choice.End(mtboard.Left{})
-		r.left("the caller closed its connection")
-		panic(http.ErrAbortHandler)
+		r.abandon(choice, link, "the caller closed its connection")
 	case err != nil && ctx.Err() == nil && r.route.GetResumable():
-		link.Close()
-		choice.End(mtboard.Broken{})
-		r.broke(choice)
+		r.endBroken(ctx, choice, link)
 		return broken{why: "the stream broke off: " + err.Error()}
 	case err != nil:
 		return r.cut(ctx, choice, link, err)
@@ -140,6 +132,14 @@
 	return answered{}
 }
 
+// abandon ends a send whose caller is gone.
+func (r *request) abandon(choice *mtboard.Choice, link *mtlink.Link, why string) {
+	link.Close()
+	choice.End(mtboard.Left{})
+	r.left(why)
+	panic(http.ErrAbortHandler)
+}
+
 // callerError is a failure to write to the caller.
 type callerError struct{ error }
 
@@ -226,13 +226,7 @@
 
 // cut ends an answer whose head the caller has, so that it does not look whole.
 func (r *request) cut(ctx context.Context, choice *mtboard.Choice, link *mtlink.Link, err error) result {
-	link.Close()
-	if ctx.Err() != nil {
-		choice.End(mtboard.Left{})
-	} else {
-		choice.End(mtboard.Broken{})
-		r.broke(choice)
-	}
+	r.endBroken(ctx, choice, link)
 	r.front.trail.Warn(mtkind.RequestFailed, append(r.fields(), zap.String("target", choice.Target()),
 		zap.String("why", "the answer broke off: "+err.Error()))...)
 	panic(http.ErrAbortHandler)
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -93,9 +93,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	tasks := []func(context.Context) error{
-		func(ctx context.Context) error { return mtfollow.Follow(ctx, f.store.Targets(), &targets{front: f}) },
-		func(ctx context.Context) error { return mtfollow.Follow(ctx, f.store.Catalogs(), &catalogs{front: f}) },
-		func(ctx context.Context) error { return mtfollow.Follow(ctx, f.store.Weights(), &weights{front: f}) },
+		func(ctx context.Context) error { return mtfollow.Follow(ctx, f.store.Targets(), &targets{follower{f}}) },
+		func(ctx context.Context) error {
+			return mtfollow.Follow(ctx, f.store.Catalogs(), &catalogs{follower{f}})
+		},
+		func(ctx context.Context) error { return mtfollow.Follow(ctx, f.store.Weights(), &weights{follower{f}}) },
 		func(ctx context.Context) error { return f.socket.Serve(ctx, f.hear) },
 		f.greet,
 		f.sweep,
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -1,6 +1,7 @@
 package mtfront
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -94,15 +95,7 @@
 	}
 	list := slices.Clone(engines)
 	slices.SortFunc(list, func(a, b *fleetv1.Target) int {
-		x, y := xxh3.HashStringSeed(a.GetId(), seed), xxh3.HashStringSeed(b.GetId(), seed)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Compare(xxh3.HashStringSeed(a.GetId(), seed), xxh3.HashStringSeed(b.GetId(), seed))
 	})
 	return list
 }
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -11,8 +11,17 @@
 	"github.com/mustardtide/mustardtide/platform/mtobjects"
 )
 
+// follower is what the sinks of all kinds of objects share.
+type follower struct{ front *Front }
+
+// Wait is how long a watch may wait.
+func (s *follower) Wait() time.Duration { return s.front.watchTime() }
+
+// Pause is how long changes may gather.
+func (s *follower) Pause() time.Duration { return s.front.gatherTime() }
+
 // targets takes in the entries of targets.
-type targets struct{ front *Front }
+type targets struct{ follower }
 
 // Replace gets the complete list.
 func (s *targets) Replace(list []mtobjects.Change[*fleetv1.Target], revision int64) {
@@ -64,12 +73,6 @@
 	}
 }
 
-// Wait is how long a watch may wait.
-func (s *targets) Wait() time.Duration { return s.front.watchTime() }
-
-// Pause is how long changes may gather.
-func (s *targets) Pause() time.Duration { return s.front.gatherTime() }
-
 // tellTarget logs what a target's entry changes.
 func (f *Front) tellTarget(before, now *fleetv1.Target, source string) {
 	fields := []zap.Field{
@@ -97,7 +100,7 @@
 }
 
 // catalogs takes in the operators' configuration.
-type catalogs struct{ front *Front }
+type catalogs struct{ follower }
 
 // Replace gets the configuration, if there is one.
 func (s *catalogs) Replace(list []mtobjects.Change[*fleetv1.Catalog], revision int64) {
@@ -116,12 +119,6 @@
 	}
 }
 
-// Wait is how long a watch may wait.
-func (s *catalogs) Wait() time.Duration { return s.front.watchTime() }
-
-// Pause is how long changes may gather.
-func (s *catalogs) Pause() time.Duration { return s.front.gatherTime() }
-
 // Away keeps the configuration.
 func (s *catalogs) Away(err error) { s.front.lost("catalog", err) }
 
@@ -145,7 +142,7 @@
 }
 
 // weights takes in the named weights of models.
-type weights struct{ front *Front }
+type weights struct{ follower }
 
 // Replace gets the complete list.
 func (s *weights) Replace(list []mtobjects.Change[*fleetv1.Weights], revision int64) {
@@ -161,12 +158,6 @@
 	}
 }
 
-// Wait is how long a watch may wait.
-func (s *weights) Wait() time.Duration { return s.front.watchTime() }
-
-// Pause is how long changes may gather.
-func (s *weights) Pause() time.Duration { return s.front.gatherTime() }
-
 // Away keeps what was named.
 func (s *weights) Away(err error) { s.front.lost("weights", err) }
 
@@ -201,9 +192,12 @@
 }
 
 // hurry lets the next greeting go out now.
-func (f *Front) hurry() {
+func (f *Front) hurry() { nudge(f.wake) }
+
+// nudge wakes a loop, which finds all that has changed since.
+func nudge(loop chan<- struct{}) {
 	select {
-	case f.wake <- struct{}{}:
+	case loop <- struct{}{}:
 	default:
 	}
 }
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -84,12 +84,7 @@
 }
 
 // digest lets the other entries hear at once how far this one knows.
-func (f *Front) digest() {
-	select {
-	case f.spread <- struct{}{}:
-	default:
-	}
-}
+func (f *Front) digest() { nudge(f.spread) }
 
 // spreadAll tells the other entries now and then, and at once where something
 // has changed.
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -117,14 +117,23 @@
 
 // lost ends a send whose connection failed: the request may have run.
 func (r *request) lost(ctx context.Context, choice *mtboard.Choice, link *mtlink.Link, err error) result {
+	r.endBroken(ctx, choice, link)
+	if ctx.Err() != nil {
+		return broken{why: "ended at the target: " + ctx.Err().Error()}
+	}
+	return broken{why: err.Error()}
+}
+
+// endBroken closes a connection whose answer did not come to its end, and blames
+// the target unless the caller or the request's time ended it.
+func (r *request) endBroken(ctx context.Context, choice *mtboard.Choice, link *mtlink.Link) {
 	link.Close()
 	if ctx.Err() != nil {
 		choice.End(mtboard.Left{})
-		return broken{why: "ended at the target: " + ctx.Err().Error()}
+		return
 	}
 	choice.End(mtboard.Broken{})
 	r.broke(choice)
-	return broken{why: err.Error()}
 }
 
 // notify tells the other entries what the target reads, so that they neither
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -84,7 +84,7 @@
 		r.reject("this entry is about to stop", stopAgain)
 		return
 	}
-	if f.suspects.Banned(r.fingerprint()) {
+	if !f.suspects.Empty() && f.suspects.Banned(r.fingerprint()) {
 		f.trail.Warn(mtkind.RequestDangerous, r.fields()...)
 		r.reject("requests like this have crashed the targets that ran them", dangerAgain)
 		return
--- a/internal/request/mtquarantine/table.go
+++ b/internal/request/mtquarantine/table.go
@@ -127,9 +127,13 @@
 	}
 }
 
+// Empty says that no request is suspected or quarantined: then none needs a
+// fingerprint.
+func (t *Table) Empty() bool { return t.count.Load() == 0 }
+
 // Banned says that a request is quarantined.
 func (t *Table) Banned(digest []byte) bool {
-	if t.count.Load() == 0 {
+	if t.Empty() {
 		return false
 	}
 	t.mu.Lock()
@@ -140,7 +144,7 @@
 
 // Suspect says that a target died while it ran the request.
 func (t *Table) Suspect(digest []byte) bool {
-	if t.count.Load() == 0 {
+	if t.Empty() {
 		return false
 	}
 	t.mu.Lock()
@@ -151,7 +155,7 @@
 
 // Bans lists what was quarantined of late, newest first.
 func (t *Table) Bans() [][]byte {
-	if t.count.Load() == 0 {
+	if t.Empty() {
 		return nil
 	}
 	t.mu.Lock()
