End abandoned requests with a reset

The entry had closed the connections at once, but an end in order stands behind the bytes before it. Ruled out: finding the frozen engine sooner; they were sent within the 0.7 s that tell silence from a slow link. Change: a connection whose answer is still open ends with a reset. TestAbandonedRequestIsReset fails without it.

--- a/internal/relay/mtlink/link.go
+++ b/internal/relay/mtlink/link.go
@@ -39,6 +39,8 @@
 	reused  bool
 
 	closed atomic.Bool
+	// open says that a request was begun whose answer was not read to its end.
+	open atomic.Bool
 	// written gets the outcome of a body that is written apart.
 	written chan error
 	body    *tracked
@@ -69,6 +71,7 @@
 // Send writes one request. A long body goes on in a goroutine that ends with
 // the connection or the body; Release waits for it.
 func (l *Link) Send(method, uri, host string, header http.Header, body []byte) error {
+	l.open.Store(true)
 	var head bytes.Buffer
 	head.WriteString(method + " " + uri + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	if err := header.Write(&head); err != nil {
@@ -137,6 +140,9 @@
 // Release returns the connection to the pool if nothing is left on it, and
 // closes it otherwise. idle is how long the target keeps it, 0 if not told.
 func (l *Link) Release(idle time.Duration) {
+	if l.body != nil && l.body.whole {
+		l.open.Store(false)
+	}
 	if !l.whole() {
 		l.Close()
 		return
@@ -173,11 +179,19 @@
 	}
 }
 
-// Close ends the connection; a request on it is cancelled at most targets.
+// Close ends the connection; a request on it is cancelled at most targets. One
+// whose answer is still open ends with a reset: a target that stood still, as
+// on a frozen instance, would else find the request in its buffers when it
+// wakes and run it for nobody.
 func (l *Link) Close() {
-	if l.closed.CompareAndSwap(false, true) {
-		l.conn.Close()
+	if !l.closed.CompareAndSwap(false, true) {
+		return
+	}
+	if conn, ok := l.conn.(*net.TCPConn); ok && l.open.Load() {
+		// Without it the connection ends as any other; nothing else depends on it.
+		_ = conn.SetLinger(0)
 	}
+	l.conn.Close()
 }
 
 // usable says that an idle connection is neither closed by the target nor
--- a/internal/relay/mtlink/link_test.go
+++ b/internal/relay/mtlink/link_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -203,3 +204,49 @@
 	_, err := o.pool.Take(context.Background(), address)
 	o.g.Expect(err).To(HaveOccurred())
 }
+
+// A caller leaves while its request lies unread at a frozen target: the
+// connection ends with a reset, so that the target does not run the request
+// when it wakes. One whose answer was read whole ends as usual.
+func TestAbandonedRequestIsReset(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		end    error
+	}{
+		"unread":   {"", syscall.ECONNRESET},
+		"answered": {answer("1", "one"), nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newTarget(t)
+			left, ends := make(chan struct{}), make(chan error, 1)
+			go func() {
+				conn, err := o.listener.Accept()
+				if err != nil {
+					ends <- err
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, c.answer)
+				<-left
+				_, err = io.Copy(io.Discard, conn)
+				ends <- err
+			}()
+			link, err := o.pool.Take(context.Background(), o.address())
+			o.g.Expect(err).NotTo(HaveOccurred())
+			o.g.Expect(link.Send(http.MethodGet, "/", "h", http.Header{"Id": {"1"}}, nil)).To(Succeed())
+			if c.answer != "" {
+				response, err := link.Receive(http.MethodGet, func(*http.Response) bool { return true })
+				o.g.Expect(err).NotTo(HaveOccurred())
+				o.g.Expect(io.ReadAll(response.Body)).To(BeEquivalentTo("one"))
+				link.Release(0)
+			}
+			link.Close()
+			close(left)
+			if c.end == nil {
+				o.g.Expect(<-ends).NotTo(HaveOccurred())
+			} else {
+				o.g.Expect(<-ends).To(MatchError(c.end))
+			}
+		})
+	}
+}
