Let a stopping entry take what ends before it does

Each entry waited for streams of six seconds and more up to the end of its grace time, but had closed its doors after 2.9 s: callers whom the balancer still sent found no connection, and no word of when to come back. Ruled out: taking streams as well. Change: mtclosing decides. While its streams last, an entry takes what is over before its own end and tells the others when to come back: at once where another entry takes requests, else when the first has been replaced; entries tell each other when they end. Connections that rest are closed so that a request that crosses the close is known as such and not passed on. The doors stay open to 0.3 s before the end of the grace time, not 1.2 s.

--- /dev/null
+++ b/internal/admission/mtclosing/closing_test.go
@@ -0,0 +1,37 @@
+package mtclosing_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardtide/mustardtide/internal/admission/mtclosing"
+)
+
+var now = time.Unix(1000, 0)
+
+func after(seconds float64) time.Time { return now.Add(time.Duration(seconds * float64(time.Second))) }
+
+// An entry waits for its long streams: it takes what is over before its own
+// end, however that comes about, and nothing that the end could cut.
+func TestTakesWhatEndsInTime(t *testing.T) {
+	g := NewWithT(t)
+	closing := mtclosing.Until(after(5))
+	g.Expect(closing.Takes(after(1.5))).To(BeTrue())
+	g.Expect(closing.Takes(after(4.6))).To(BeTrue())
+	g.Expect(closing.Takes(after(4.8))).To(BeFalse())
+	g.Expect(closing.Takes(after(15))).To(BeFalse())
+	g.Expect(closing.Left(after(2))).To(Equal(3 * time.Second))
+}
+
+// A refused caller is sent to another entry at once, and where all are
+// stopping, told to come back when the first has been replaced.
+func TestWhenToComeBack(t *testing.T) {
+	g := NewWithT(t)
+	closing := mtclosing.Until(after(5))
+	g.Expect(closing.Again(now, []time.Time{after(3), {}})).To(BeNumerically("<", 50*time.Millisecond))
+	g.Expect(closing.Again(now, []time.Time{after(3), after(4)})).To(Equal(4300 * time.Millisecond))
+	g.Expect(closing.Again(now, nil)).To(Equal(6300 * time.Millisecond))
+	g.Expect(closing.Again(after(9), []time.Time{after(3)})).To(BeNumerically("<", 50*time.Millisecond))
+}
--- a/internal/relay/mtfront/deliver.go
+++ b/internal/relay/mtfront/deliver.go
@@ -97,7 +97,7 @@
 	if response.ContentLength >= 0 {
 		r.out.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
-	if r.front.stopping.Load() {
+	if r.front.closing.Load() != nil {
 		r.out.Header().Set("Connection", "close")
 	}
 }
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -15,6 +15,7 @@
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/admission/mtallowance"
+	"github.com/mustardtide/mustardtide/internal/admission/mtclosing"
 	"github.com/mustardtide/mustardtide/internal/members/mtfollow"
 	"github.com/mustardtide/mustardtide/internal/members/mtroster"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
@@ -44,14 +45,19 @@
 	board  *mtboard.Board
 	roster *mtroster.Roster
 
-	peers    peers
-	catalog  atomic.Pointer[mtcatalog.Catalog]
-	stopping atomic.Bool
-	closed   atomic.Bool
-	live     atomic.Int64
-	wake     chan struct{}
-	spread   chan struct{}
-	learn    chan ahead
+	peers   peers
+	catalog atomic.Pointer[mtcatalog.Catalog]
+	// closing is set once the entry is told to stop.
+	closing atomic.Pointer[mtclosing.Closing]
+	// taking holds one of the values of that type.
+	taking atomic.Int32
+	// live counts the requests under way that were taken while the entry took
+	// all, late those after.
+	live   atomic.Int64
+	late   atomic.Int64
+	wake   chan struct{}
+	spread chan struct{}
+	learn  chan ahead
 	// away counts the kinds of objects for which the store does not answer.
 	away atomic.Int32
 
@@ -123,7 +129,7 @@
 // was not told to stop.
 func (f *Front) Ready() bool {
 	view := f.roster.View()
-	return !f.stopping.Load() && f.catalog.Load() != nil && view.Complete() > 0 && len(view.All()) > 0
+	return f.closing.Load() == nil && f.catalog.Load() != nil && view.Complete() > 0 && len(view.All()) > 0
 }
 
 // ServeReady answers the balancer.
@@ -133,20 +139,6 @@
 	}
 }
 
-// Stop turns the entry unready: answers from now on close their connections.
-func (f *Front) Stop() {
-	if f.stopping.CompareAndSwap(false, true) {
-		f.trail.Say(mtkind.FleetStopping, zap.Int64("live", f.live.Load()))
-	}
-}
-
-// Close lets the entry refuse requests that still come, which have time to go
-// elsewhere and may not have the time to end here.
-func (f *Front) Close() { f.closed.Store(true) }
-
-// Live is the number of requests under way.
-func (f *Front) Live() int64 { return f.live.Load() }
-
 // sweep closes idle connections and drops targets that did not come back.
 func (f *Front) sweep(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -170,7 +162,7 @@
 // gauges are the values that are read when metrics are asked for.
 func (f *Front) gauges() {
 	set := f.trail.Metrics()
-	set.Gauge("requests_live", f.live.Load)
+	set.Gauge("requests_live", f.Live)
 	set.Gauge("targets_known", func() int64 { return int64(len(f.roster.View().All())) })
 	set.Gauge("targets_complete_revision", func() int64 { return f.roster.View().Complete() })
 	set.Gauge("peers_live", func() int64 { return int64(len(f.peers.list())) })
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"github.com/zeebo/xxh3"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1/fleetv1connect"
@@ -100,6 +101,9 @@
 		if catalog := f.catalog.Load(); catalog != nil {
 			digest.Catalog = catalog.Revision()
 		}
+		if closing := f.closing.Load(); closing != nil {
+			digest.Left = durationpb.New(max(0, closing.Left(time.Now())))
+		}
 		f.peers.tell(f.socket, &fleetv1.Word{Word: &fleetv1.Word_Digest{Digest: digest}})
 	}
 	return ctx.Err()
@@ -107,7 +111,7 @@
 
 // hearDigest takes in how far another entry knows.
 func (f *Front) hearDigest(from string, digest *fleetv1.Digest) {
-	f.peers.see([]string{from}, f.socket.Address())
+	f.peers.hear(from, digest.GetLeft())
 	for _, suspect := range digest.GetSuspects() {
 		f.suspects.Crash(suspect.GetDigest(), suspect.GetSource())
 	}
--- a/internal/relay/mtfront/peers.go
+++ b/internal/relay/mtfront/peers.go
@@ -1,9 +1,13 @@
 package mtfront
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 )
@@ -16,40 +20,75 @@
 	maxPeers = 32
 )
 
-// peers are the other entries, as the sidecars name them. The zero value is
-// ready for use.
+// peers are the other entries, as the sidecars name them and as they say
+// themselves. The zero value is ready for use.
 type peers struct {
-	mu   sync.Mutex
-	last map[string]time.Time
+	mu    sync.Mutex
+	known map[string]peer
+}
+
+// peer is another entry.
+type peer struct {
+	// last is when it was heard of.
+	last time.Time
+	// ends is when it ends at the latest; the zero time while it takes requests.
+	ends time.Time
 }
 
 // see takes in entries that a sidecar has heard of late.
 func (p *peers) see(list []string, self string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.last == nil {
-		p.last = map[string]time.Time{}
-	}
 	for _, address := range list {
-		if address != self && (p.last[address] != time.Time{} || len(p.last) < maxPeers) {
-			p.last[address] = time.Now()
+		if address != self {
+			p.note(address, p.known[address].ends)
 		}
 	}
 }
 
+// hear takes in an entry that speaks for itself; left is nil while it takes
+// requests.
+func (p *peers) hear(from string, left *durationpb.Duration) {
+	var ends time.Time
+	if left != nil {
+		ends = time.Now().Add(left.AsDuration())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.note(from, ends)
+}
+
+func (p *peers) note(address string, ends time.Time) {
+	if p.known == nil {
+		p.known = map[string]peer{}
+	}
+	if _, ok := p.known[address]; ok || len(p.known) < maxPeers {
+		p.known[address] = peer{last: time.Now(), ends: ends}
+	}
+}
+
 // list names the live ones and forgets the others.
 func (p *peers) list() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var live []string
-	for address, last := range p.last {
-		if time.Since(last) > peerTime {
-			delete(p.last, address)
-			continue
-		}
-		live = append(live, address)
+	p.forget()
+	return slices.Collect(maps.Keys(p.known))
+}
+
+// ends tells when the live ones end, the zero time for those that take requests.
+func (p *peers) ends() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget()
+	var list []time.Time
+	for _, other := range p.known {
+		list = append(list, other.ends)
 	}
-	return live
+	return list
+}
+
+func (p *peers) forget() {
+	maps.DeleteFunc(p.known, func(_ string, other peer) bool { return time.Since(other.last) > peerTime })
 }
 
 // tell sends a word to all. A notice that is lost costs a part read twice; a
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -27,9 +27,6 @@
 	// startAgain is when a caller should come back to an entry that knows no
 	// configuration yet: it takes some milliseconds to read one.
 	startAgain = 300 * time.Millisecond
-	// stopAgain is when a caller should come back from an entry that stops: at
-	// once, over a new connection, which leads elsewhere.
-	stopAgain = 10 * time.Millisecond
 )
 
 // request is one caller's request and what was decided about it.
@@ -64,9 +61,13 @@
 
 // ServeHTTP takes a caller's request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, in *http.Request) {
-	f.live.Add(1)
-	defer f.live.Add(-1)
-	if f.stopping.Load() {
+	under := &f.live
+	if f.taking.Load() != int32(takingAll) {
+		under = &f.late
+	}
+	under.Add(1)
+	defer under.Add(-1)
+	if f.closing.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	r := &request{front: f, in: in, out: w, ask: mtspeech.Decode(in.Header), begun: time.Now(), uri: requestURI(in)}
@@ -80,8 +81,8 @@
 	if !r.readBody(ctx) {
 		return
 	}
-	if f.closed.Load() {
-		r.reject("this entry is about to stop", stopAgain)
+	if !f.takes(ctx, r.until) {
+		r.reject("this entry is about to stop", f.closing.Load().Again(time.Now(), f.peers.ends()))
 		return
 	}
 	if !f.suspects.Empty() && f.suspects.Banned(r.fingerprint()) {
--- a/internal/role/mtfleet/entry.go
+++ b/internal/role/mtfleet/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/gravitational/trace"
 
@@ -13,13 +12,6 @@
 	"github.com/mustardtide/mustardtide/platform/mtspeech"
 )
 
-const (
-	// noticeTime is how long a stopping entry takes requests: the balancer asks
-	// each second and needs two misses to send new connections elsewhere. What
-	// it takes later may not end within the grace time.
-	noticeTime = 2900 * time.Millisecond
-)
-
 // RunEntry runs an entry until SIGTERM.
 func RunEntry() error {
 	d, err := open()
@@ -48,7 +40,9 @@
 		return trace.Wrap(err)
 	}
 	return d.serve([]*mtserver.Server{public, ready, peer, metrics}, front.Run, func(ctx context.Context) {
-		drain(ctx, front, public)
+		// An error says that requests outlast the grace time; the servers' end cuts
+		// them.
+		_ = front.Drain(ctx, public)
 	})
 }
 
@@ -61,17 +55,3 @@
 		front.ServeReady(w, in)
 	})
 }
-
-// drain serves until the balancer has taken the entry out, then refuses what
-// still comes over open connections, and waits for the requests under way.
-func drain(ctx context.Context, front *mtfront.Front, public *mtserver.Server) {
-	front.Stop()
-	select {
-	case <-ctx.Done():
-	case <-time.After(noticeTime):
-	}
-	front.Close()
-	// Idle connections are closed here; an error says that requests outlast the
-	// grace time, and the servers' end cuts them.
-	_ = public.Shutdown(ctx)
-}
--- a/internal/role/mtfleet/run.go
+++ b/internal/role/mtfleet/run.go
@@ -40,7 +40,7 @@
 	// centres; an instance without power does not answer at all.
 	dialTime = 300 * time.Millisecond
 	// closeTime is left at the end of the grace time to close connections.
-	closeTime = 1200 * time.Millisecond
+	closeTime = 300 * time.Millisecond
 )
 
 // Active says that the platform has given this process its settings.
--- a/internal/role/mtserver/server.go
+++ b/internal/role/mtserver/server.go
@@ -23,8 +23,13 @@
 // Server is kratos' HTTP server with the settings that streams need.
 type Server struct {
 	*khttp.Server
+	resting resting
 }
 
+// CloseResting closes the connections that wait for their next request; Closed
+// tells of the requests that cross it. For servers of NewDirect.
+func (s *Server) CloseResting() { s.resting.closeAll() }
+
 // New returns a server on a listener. kratos cancels a request's context after
 // one second unless its time-out is zero: every stream would be cut.
 func New(listener net.Listener, config *tls.Config, handler http.Handler) *Server {
@@ -60,5 +65,6 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	server.Protocols = protocols
+	server.resting.watch(server.Server.Server)
 	return server
 }
--- a/internal/settings/mtcheck/page_test.go
+++ b/internal/settings/mtcheck/page_test.go
@@ -38,7 +38,7 @@
 const fleetHead = `
 ## On the users' platform
 
-The platform writes these in its own names, which ` + "`platform/mtboot` and `platform/mtobjects`" + ` decode; nobody writes them in the form below. A process finds its file by the environment variable ` + "`MUSTARDTIDE_BOOT`" + ` and reads it again on SIGHUP; the configuration is watched in the platform's store. Fields that no part of the product knows are ignored. ` + "`mustardtide check --boot FILE` and `mustardtide check --catalog FILE`" + ` list every fault with its line. ` + "`deploy/system.toml`" + ` says how the two daemons are built and placed; there is no other setting.
+The platform writes these in its own names, which ` + "`platform/mtboot` and `platform/mtobjects`" + ` decode; nobody writes them in the form below. A process finds its file by an environment variable that the platform sets and reads it again on SIGHUP; the configuration is watched in the platform's store. Fields that no part of the product knows are ignored. ` + "`mustardtide check --boot FILE` and `mustardtide check --catalog FILE`" + ` list every fault with its line. ` + "`deploy/system.toml`" + ` says how the two daemons are built and placed; there is no other setting.
 `
 
 // section is a table of the page.
