Say of each target that lost a choice what spoke against it

Cause: a line on a choice named the next three targets with their estimates, not why they were dearer, and said nothing of those that were not considered; the walk through a refused request had to guess that. Ruled out: a line for every candidate, 18 to 300 a request. Change: an estimate is a bill of thirteen named items. The line names, for each of the next three, the item by which its bill exceeds the chosen one's the most, and counts the targets left out by what they lacked. One piece of code says what a target lacks, for choices, for refusals and for the count.

--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -29,10 +29,13 @@
 	estimate time.Duration
 	expected time.Duration
 	wait     time.Duration
+	bill     bill
 	cost     time.Duration
 
-	since   time.Time
+	since time.Time
+	// lost are the cheapest of the others, unfit those that were not considered.
 	lost    []loser
+	unfit   unfit
 	started bool
 	ended   bool
 }
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -1,8 +1,6 @@
 package mtboard
 
 import (
-	"time"
-
 	"github.com/zeebo/xxh3"
 
 	"github.com/mustardtide/mustardtide/internal/placement/mtholder"
@@ -14,26 +12,40 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.weighing(q)
-	var best, c Choice
+	var best Choice
+	var out unfit
+	lost := make([]loser, 0, told)
 	for _, r := range b.services[q.service.GetName()] {
-		c = Choice{board: b, record: r, query: q, id: r.target.GetId(), address: r.target.GetAddress()}
-		if q.excluded[c.id] || !r.usable() || !w.weigh(&c) {
+		c := b.candidate(r, q)
+		if l := w.lack(&c); l != lackNone {
+			out[l]++
 			continue
 		}
-		if best.record == nil || c.cost < best.cost {
-			c.lost = best.followed()
+		w.weigh(&c)
+		c.cost = c.bill.sum()
+		switch {
+		case best.record == nil:
+			c.lost, best = lost, c
+		case c.cost < best.cost:
+			c.lost = best.lost
+			c.lose(&best)
 			best = c
-		} else {
+		default:
 			best.lose(&c)
 		}
 	}
 	if best.record == nil {
 		return nil
 	}
+	best.unfit = out
 	best.begin()
 	return &best
 }
 
+func (b *Board) candidate(r *record, q *Query) Choice {
+	return Choice{board: b, record: r, query: q, id: r.target.GetId(), address: r.target.GetAddress()}
+}
+
 // weighing is what all candidates of one choice share.
 type weighing struct {
 	board   *Board
@@ -58,16 +70,28 @@
 	return w
 }
 
-// weigh sets a candidate's cost; it reports whether the candidate may be chosen.
-func (w *weighing) weigh(c *Choice) bool {
+// lack says what keeps a candidate from being considered; it sets the version of
+// its weights.
+func (w *weighing) lack(c *Choice) lack {
+	if w.query.excluded[c.id] {
+		return lackTried
+	}
+	if l := c.record.lack(); l != lackNone || w.query.model() == "" {
+		return l
+	}
+	c.version = c.record.weights(w.query.model())
+	if w.board.outdated(w.query.model(), c.version, w.newest) {
+		return lackOutdated
+	}
+	return lackNone
+}
+
+// weigh makes out a candidate's bill.
+func (w *weighing) weigh(c *Choice) {
 	q := w.query
 	if q.model() == "" {
 		w.board.weighPlain(c)
-		return true
-	}
-	c.version = c.record.weights(q.model())
-	if w.board.outdated(q.model(), c.version, w.newest) {
-		return false
+		return
 	}
 	if w.matches[c.version] == nil {
 		w.salts[c.version] = q.salt(c.version)
@@ -75,15 +99,6 @@
 	}
 	c.salt, c.settled = w.salts[c.version], w.settled
 	w.board.weigh(c, w.matches[c.version], c.id == w.home)
-	return true
-}
-
-// usable says that the target may be given requests at all.
-func (r *record) usable() bool {
-	if r.target.GetLeaving() || r.misplaced || time.Now().Before(r.faults.out) {
-		return false
-	}
-	return !r.fresh() || r.state.GetAnswers() && !r.state.GetOrdering()
 }
 
 // home is the target of the request's data centre to which its deepest shared
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -49,7 +49,7 @@
 	fullShare = 0.92
 )
 
-// weigh estimates the time to the first token on a model engine.
+// weigh makes out the bill of a model engine, in time to the first token.
 func (b *Board) weigh(c *Choice, matches map[string]mtholder.Match, home bool) {
 	q, r := c.query, c.record
 	own := matches[c.id]
@@ -59,41 +59,45 @@
 	c.fetch, c.fetched = source, fetched
 	left := max(0, q.ask.GetPrompt()-own.Tokens-fetched)
 	c.reads = left
-	cost := time.Duration(r.queued()+left)*tokenTime + firstTime
+	c.bill[itemStart] = firstTime
+	c.bill[itemQueue] = time.Duration(r.queued()) * tokenTime
+	c.bill[itemRead] = time.Duration(left) * tokenTime
 	if fetched > 0 {
-		cost += fetchBase + time.Duration(fetched)*fetchToken
+		c.bill[itemFetch] = fetchBase + time.Duration(fetched)*fetchToken
 	}
-	c.estimate = cost
-	cost = time.Duration(float64(cost) * r.pace.now())
-	c.expected = cost
-	c.wait = time.Duration(float64(time.Duration(r.queued())*tokenTime) * r.pace.now())
-	cost += time.Duration(r.others()+r.running) * stepTime
+	c.estimate = c.bill.sum()
+	pace := r.pace.now()
+	for i := range c.bill {
+		c.bill[i] = time.Duration(float64(c.bill[i]) * pace)
+	}
+	c.expected = c.bill.sum()
+	c.wait = c.bill[itemQueue]
+	c.bill[itemRuns] = time.Duration(r.others()+r.running) * stepTime
 	if r.target.GetDatacentre() != b.datacentre {
-		cost += apartTime
+		c.bill[itemApart] = apartTime
 	}
 	if !home && own.Tokens == 0 && len(q.shared()) > 0 {
-		cost += strayTime
+		c.bill[itemStray] = strayTime
 	}
-	cost += time.Duration(wasted(c, matches)) * wasteTime
+	c.bill[itemWaste] = time.Duration(wasted(c, matches)) * wasteTime
 	if b.older(q.model(), c.version) {
-		cost += olderTime
+		c.bill[itemOlder] = olderTime
 	}
 	if r.astray(q) {
-		cost += laneTime
+		c.bill[itemLane] = laneTime
 	}
 	if r.full(q) {
-		cost += fullCost
+		c.bill[itemFull] = fullCost
 	}
-	c.cost = cost + r.doubts()
+	r.doubts(&c.bill)
 }
 
 // doubts are what speaks against a target besides its load.
-func (r *record) doubts() time.Duration {
-	cost := r.faults.cost()
+func (r *record) doubts(b *bill) {
+	b[itemFaults] = r.faults.cost()
 	if r.replaced {
-		cost += replacedCost
+		b[itemReplaced] = replacedCost
 	}
-	return cost
 }
 
 // wasted are the shared tokens that the target would read although another has
--- a/internal/placement/mtboard/plain.go
+++ b/internal/placement/mtboard/plain.go
@@ -11,7 +11,7 @@
 	loadTime = 300 * time.Millisecond
 )
 
-// weighPlain estimates the time to the answer of a plain service.
+// weighPlain makes out the bill of a plain service, in time to the answer.
 func (b *Board) weighPlain(c *Choice) {
 	r := c.record
 	slots := max(1, int(r.target.GetSlots()))
@@ -20,13 +20,13 @@
 		busy = max(busy, int(r.loaded.GetRunning()+r.loaded.GetWaiting()))
 	}
 	c.estimate = workTime
-	cost := workTime * time.Duration(busy) / time.Duration(slots)
+	c.bill[itemQueue] = workTime * time.Duration(busy) / time.Duration(slots)
 	if busy >= slots {
-		cost += workTime * time.Duration(busy-slots+1) / time.Duration(slots)
+		c.bill[itemQueue] += workTime * time.Duration(busy-slots+1) / time.Duration(slots)
 	}
-	cost += time.Duration(float64(workTime) * r.pace.now())
+	c.bill[itemStart] = time.Duration(float64(workTime) * r.pace.now())
 	if r.target.GetDatacentre() != b.datacentre {
-		cost += apartPlain
+		c.bill[itemApart] = apartPlain
 	}
-	c.cost = cost + r.doubts()
+	r.doubts(&c.bill)
 }
--- a/internal/placement/mtboard/why.go
+++ b/internal/placement/mtboard/why.go
@@ -2,76 +2,85 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 )
 
-// told is how many of the targets that lost are named in a log line.
-const told = 3
+// lack is what keeps a target from being considered.
+type lack int
 
-// loser is a target that was considered and not chosen.
-type loser struct {
-	id   string
-	cost time.Duration
-}
+const (
+	lackNone lack = iota
+	lackTried
+	lackLeaving
+	lackMisplaced
+	lackUnreached
+	lackSilent
+	lackLoading
+	lackOutdated
+	lacks
+)
 
-// followed are the losers once a choice is itself one.
-func (c *Choice) followed() []loser {
-	if c.record == nil {
-		return nil
-	}
-	c.lose(c)
-	return c.lost
+// reasons are what the lacks are called in logs and refusals.
+var reasons = [lacks]string{
+	lackTried:     "tried",
+	lackLeaving:   "leaving",
+	lackMisplaced: "replaced",
+	lackUnreached: "unreached of late",
+	lackSilent:    "silent",
+	lackLoading:   "loading weights",
+	lackOutdated:  "with outdated weights",
 }
 
-// lose keeps another target among the cheapest of those that lost.
-func (c *Choice) lose(other *Choice) {
-	at, _ := slices.BinarySearchFunc(c.lost, other.cost, func(l loser, cost time.Duration) int {
-		return int(l.cost - cost)
-	})
-	if at >= told {
-		return
+// lack says what keeps the target from being given requests at all.
+func (r *record) lack() lack {
+	switch {
+	case r.target.GetLeaving():
+		return lackLeaving
+	case r.misplaced:
+		return lackMisplaced
+	case time.Now().Before(r.faults.out):
+		return lackUnreached
+	case r.fresh() && !r.state.GetAnswers():
+		return lackSilent
+	case r.fresh() && r.state.GetOrdering():
+		return lackLoading
+	default:
+		return lackNone
 	}
-	c.lost = slices.Insert(c.lost, at, loser{other.id, other.cost})
-	c.lost = c.lost[:min(told, len(c.lost))]
 }
 
-// Losers names the next best targets with what each would have cost.
-func (c *Choice) Losers() string {
-	var b strings.Builder
-	for i, l := range c.lost {
-		if i > 0 {
-			b.WriteByte(' ')
+// usable says that the target may be given requests at all.
+func (r *record) usable() bool { return r.lack() == lackNone }
+
+// unfit counts the targets that were not considered, by what they lack.
+type unfit [lacks]int
+
+func (u *unfit) String() string {
+	var parts []string
+	for l, count := range u {
+		if lack(l) != lackNone && count > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", count, reasons[l]))
 		}
-		fmt.Fprintf(&b, "%s:%dms", l.id, l.cost.Milliseconds())
 	}
-	return b.String()
+	return strings.Join(parts, ", ")
 }
 
+// Unfit says how many of the service's targets were not considered, and why;
+// empty where all were.
+func (c *Choice) Unfit() string { return c.unfit.String() }
+
 // Lacks says why no target could be chosen: how many of the service's are known
 // and what keeps each from use.
 func (b *Board) Lacks(q *Query) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var known, leaving, ordering, silent, out, replaced, tried int
-	for _, r := range b.services[q.service.GetName()] {
-		known++
-		switch {
-		case q.excluded[r.target.GetId()]:
-			tried++
-		case r.target.GetLeaving():
-			leaving++
-		case r.misplaced:
-			replaced++
-		case time.Now().Before(r.faults.out):
-			out++
-		case r.fresh() && !r.state.GetAnswers():
-			silent++
-		case r.fresh() && r.state.GetOrdering():
-			ordering++
-		}
+	var all unfit
+	records := b.services[q.service.GetName()]
+	w := b.weighing(q)
+	for _, r := range records {
+		c := b.candidate(r, q)
+		all[w.lack(&c)]++
 	}
-	return fmt.Sprintf("%d known: %d tried, %d leaving, %d loading weights, %d silent, %d unreached of late, %d replaced",
-		known, tried, leaving, ordering, silent, out, replaced)
+	return fmt.Sprintf("%d known: %s", len(records), all.String())
 }
--- /dev/null
+++ b/internal/placement/mtboard/why_test.go
@@ -0,0 +1,46 @@
+package mtboard_test
+
+import (
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
+)
+
+// An engineer asks why a request waited at one engine while others were there:
+// the choice names the next best, each with its estimate and what spoke against
+// it the most, and counts those that were not considered.
+func TestChoiceSaysWhyOthersLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := board(6)
+		for target, change := range map[string]func(queue *int64, ordering, answers *bool){
+			"e0": func(*int64, *bool, *bool) {},
+			"e1": func(*int64, *bool, *bool) {},
+			"e2": func(queue *int64, _, _ *bool) { *queue = 20_000 },
+			"e3": func(queue *int64, _, _ *bool) { *queue = 30_000 },
+			"e4": func(_ *int64, ordering, _ *bool) { *ordering = true },
+			"e5": func(_ *int64, _, answers *bool) { *answers = false },
+		} {
+			s := state(target, 1)
+			change(&s.Pending, &s.Ordering, &s.Answers)
+			b.Hear(s)
+		}
+		choice := b.Choose(query(640, "a", "b"))
+		g.Expect(choice.Target()).To(Equal("e0"))
+		g.Expect(choice.Losers()).To(MatchRegexp(
+			`^e1 \d+ms \((other data centre \+80ms|lane of the other length \+120ms)\), ` +
+				`e2 \d+ms \(prompts waiting \+625ms\), e3 \d+ms \(prompts waiting \+937ms\)$`))
+		g.Expect(choice.Unfit()).To(Equal("1 silent, 1 loading weights"))
+		choice.End(mtboard.Left{})
+
+		tried := query(640, "a", "b")
+		for _, target := range []string{"e0", "e1", "e2", "e3"} {
+			tried.Exclude(target)
+		}
+		g.Expect(b.Choose(tried)).To(BeNil())
+		g.Expect(b.Lacks(tried)).To(Equal("6 known: 4 tried, 1 silent, 1 loading weights"))
+	})
+}
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -156,6 +156,6 @@
 		zap.String("target", choice.Target()), zap.Int("try", r.tries),
 		zap.Int64("weights", choice.Version()), zap.Int64("prompt", r.ask.GetPrompt()),
 		zap.Int64("cached", choice.Matched()), zap.String("fetch", choice.Fetch()),
-		zap.Duration("cost", choice.Cost()), zap.String("next", choice.Losers()), zap.Bool("kept", link.Reused()),
+		zap.Duration("cost", choice.Cost()), zap.String("next", choice.Losers()), zap.String("unfit", choice.Unfit()), zap.Bool("kept", link.Reused()),
 		zap.Int64("configuration", r.front.catalog.Load().Version()))...)
 }
