Let a stopping entry take answers whose greatest length ends in time

Cause: streams name the greatest count of tokens that may come; an entry that waits for its own streams refused them all by their callers' time. Ruled out: taking every stream, as one cut stream breaks the rule on planned stops. Change: a stream is taken if its greatest length, at twice the usual pace and after a second and a half, is over before the entry's end. The users' callers ask for 208 and 756 tokens at most, and get 13 and 73.

--- a/internal/admission/mtclosing/closing.go
+++ b/internal/admission/mtclosing/closing.go
@@ -14,6 +14,12 @@
 	// margin is what a request must leave between the end of its own time and the
 	// end of the process: its answer still has to reach the caller.
 	margin = 300 * time.Millisecond
+	// readTime and tokenTime bound what a model's answer takes where nothing but
+	// planned work disturbs it: half a second for what waits before it, one for a
+	// load of weights in the middle; and twice the usual pace of a token, as
+	// long prompts are read between them.
+	readTime  = 1500 * time.Millisecond
+	tokenTime = 14 * time.Millisecond
 	// elsewhere is when a caller should come back where other entries take
 	// requests: at once, over a new connection, which leads to them.
 	elsewhere = 10 * time.Millisecond
@@ -38,6 +44,11 @@
 // its route's, is over at until: only one that can't be cut by the entry's end.
 func (c Closing) Takes(until time.Time) bool { return until.Before(c.end.Add(-margin)) }
 
+// TakesAnswer is Takes for a model's answer of so many tokens at most.
+func (c Closing) TakesAnswer(now, until time.Time, most int64) bool {
+	return c.Takes(until) || most > 0 && c.Takes(now.Add(readTime+time.Duration(most)*tokenTime))
+}
+
 // Again is when a refused caller should come back. Others are the ends of the
 // other entries, the zero time for one that takes requests.
 func (c Closing) Again(now time.Time, others []time.Time) time.Duration {
--- a/internal/admission/mtclosing/closing_test.go
+++ b/internal/admission/mtclosing/closing_test.go
@@ -25,6 +25,18 @@
 	g.Expect(closing.Left(after(2))).To(Equal(3 * time.Second))
 }
 
+// Where all entries stop, most callers of a model ask for short answers: these
+// are taken, however long their callers would wait, and long ones are not.
+func TestTakesShortAnswers(t *testing.T) {
+	g := NewWithT(t)
+	closing := mtclosing.Until(after(5))
+	g.Expect(closing.TakesAnswer(now, after(15), 80)).To(BeTrue())
+	g.Expect(closing.TakesAnswer(now, after(15), 900)).To(BeFalse())
+	g.Expect(closing.TakesAnswer(after(2.5), after(15), 80)).To(BeFalse())
+	g.Expect(closing.TakesAnswer(now, after(15), 0)).To(BeFalse(), "a caller that names no bound")
+	g.Expect(closing.TakesAnswer(now, after(3), 900)).To(BeTrue())
+}
+
 // A refused caller is sent to another entry at once, and where all are
 // stopping, told to come back when the first has been replaced.
 func TestWhenToComeBack(t *testing.T) {
--- a/internal/relay/mtfront/drain.go
+++ b/internal/relay/mtfront/drain.go
@@ -44,16 +44,20 @@
 	takingNone
 )
 
-// takes says whether a request may be begun whose time is over at until.
-func (f *Front) takes(ctx context.Context, until time.Time) bool {
+// takes says whether the entry may still begin the request.
+func (r *request) takes(ctx context.Context) bool {
 	if mtserver.Closed(ctx) {
 		return false
 	}
-	switch taking(f.taking.Load()) {
+	switch taking(r.front.taking.Load()) {
 	case takingNone:
 		return false
 	case takingShort:
-		return f.closing.Load().Takes(until)
+		closing := r.front.closing.Load()
+		if r.service.GetModel() == "" {
+			return closing.Takes(r.until)
+		}
+		return closing.TakesAnswer(time.Now(), r.until, r.ask.GetOutput())
 	default:
 		return true
 	}
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -81,7 +81,7 @@
 	if !r.readBody(ctx) {
 		return
 	}
-	if !f.takes(ctx, r.until) {
+	if !r.takes(ctx) {
 		r.reject("this entry is about to stop", f.closing.Load().Again(time.Now(), f.peers.ends()))
 		return
 	}
