Count the copy that a fetch makes

A fetch cost 2 us a token beside 31 us for reading, so any holder with 50 ms to read lost the next request. Change: a copied token costs 45 us, in the bill only and not in the estimate by which requests are refused. TestCopiesAreNotFree fails without it.

--- a/internal/placement/mtboard/bill.go
+++ b/internal/placement/mtboard/bill.go
@@ -18,6 +18,7 @@
 	itemApart
 	itemStray
 	itemWaste
+	itemCopy
 	itemOlder
 	itemLane
 	itemFull
@@ -36,6 +37,7 @@
 	itemApart:    "other data centre",
 	itemStray:    "not the prompt's home",
 	itemWaste:    "read again though held elsewhere",
+	itemCopy:     "more to copy",
 	itemOlder:    "older weights",
 	itemLane:     "lane of the other length",
 	itemFull:     "no room",
--- a/internal/placement/mtboard/board_test.go
+++ b/internal/placement/mtboard/board_test.go
@@ -201,3 +201,29 @@
 		})
 	}
 }
+
+// Full caches, and prompts that share 4,000 tokens: whenever their holder had
+// 50 ms to read, the next request went elsewhere and fetched them there. The
+// copies pushed out what others asked for next, which was read again. A request
+// stays with the holder for a while, and leaves it where others idle for long.
+func TestCopiesAreNotFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := board(8)
+		holder := b.Choose(query(6000, "rules", "dossier", "own1"))
+		holder.Started(&fleetv1.Answer{})
+		holder.End(mtboard.Good{})
+		busy := state(holder.Target(), 1)
+		busy.Pending = 4000 // 125 ms
+		b.Hear(busy)
+		stays := b.Choose(query(6000, "rules", "dossier", "own2"))
+		stays.End(mtboard.Left{})
+		g.Expect(stays.Target()).To(Equal(holder.Target()))
+		busy.Pending = 16_000 // 500 ms
+		b.Hear(busy)
+		leaves := b.Choose(query(6000, "rules", "dossier", "own3"))
+		leaves.End(mtboard.Left{})
+		g.Expect(leaves.Target()).NotTo(Equal(holder.Target()))
+		g.Expect(leaves.Fetch()).To(Equal(holder.Address()))
+	})
+}
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -23,6 +23,11 @@
 	// or is about to: the others' requests wait for that reading too, most of all
 	// when every cache is empty at once.
 	wasteTime = 2 * tokenTime
+	// copyTime is what a token costs that is fetched though it stays where it was:
+	// the second copy displaces another token, which the next request for it reads
+	// again. Caches are full most of the time, and every other token that goes is
+	// asked for again.
+	copyTime = 45 * time.Microsecond
 	// stepTime is what one more running request costs each of the others' tokens,
 	// over the some 70 tokens of a usual answer.
 	stepTime = 2 * time.Millisecond
@@ -80,6 +85,7 @@
 		c.bill[itemStray] = strayTime
 	}
 	c.bill[itemWaste] = time.Duration(wasted(c, matches)) * wasteTime
+	c.bill[itemCopy] = time.Duration(fetched) * copyTime
 	if b.older(q.model(), c.version) {
 		c.bill[itemOlder] = olderTime
 	}
