Name the processes' ports once, and give notice of an order once

Change: mtports has the listeners' places and the addresses. The sidecar alone keeps the notice, 20 ms, measured from when the entries were told, which the plan could not know.

--- a/internal/relay/mtbeside/order.go
+++ b/internal/relay/mtbeside/order.go
@@ -13,7 +13,7 @@
 
 // noticeTime is how long the entries have known before an order is sent: a
 // request that is on its way then would be rejected.
-const noticeTime = 15 * time.Millisecond
+const noticeTime = 20 * time.Millisecond
 
 // look reads the engine's report and tells the entries what has changed.
 func (s *Sidecar) look(ctx context.Context) {
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -7,8 +7,6 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -85,11 +83,6 @@
 	}
 }
 
-// Address is where the sidecars of a deployment take datagrams, by instance.
-func Address(ip string, site *fleetv1.Site) string {
-	return net.JoinHostPort(ip, strconv.Itoa(int(site.GetFirstport())+1))
-}
-
 // Run watches the engine until ctx ends.
 func (s *Sidecar) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"runtime"
 	"sync"
@@ -197,12 +196,3 @@
 	}
 	return a
 }
-
-// host is the IP of an IP:PORT.
-func host(address string) string {
-	ip, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return address
-	}
-	return ip
-}
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
-	"github.com/mustardtide/mustardtide/internal/relay/mtbeside"
+	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 )
 
 // greetRate bounds the greetings that an entry sends in a second: with their
@@ -64,7 +64,7 @@
 				Total:   uint32(len(engines)),
 			}
 			f.board.Fill(hello)
-			f.hello(mtbeside.Address(host(engine.GetAddress()), f.site), hello)
+			f.hello(mtports.SidecarWords.At(f.site, engine.GetAddress()), hello)
 			count++
 		}
 	}
@@ -76,7 +76,7 @@
 func (f *Front) burden(target, address string) {
 	hello := &fleetv1.Hello{Entry: f.site.GetName(), Target: target}
 	f.board.Fill(hello)
-	f.hello(mtbeside.Address(host(address), f.site), hello)
+	f.hello(mtports.SidecarWords.At(f.site, address), hello)
 }
 
 // hello sends one; a lost one is made up for by the next.
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
@@ -15,6 +13,7 @@
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1/fleetv1connect"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 )
 
 // What the store accepts reaches an entry by its own watch, or by another
@@ -47,8 +46,6 @@
 	awayTime  = 40 * time.Millisecond
 	// askTime bounds that call.
 	askTime = 700 * time.Millisecond
-	// peerPort is the offset of the port on which entries answer each other.
-	peerPort = 2
 )
 
 // watchTime is how long this entry's watches wait.
@@ -172,7 +169,7 @@
 
 // ask takes over what another entry knows. What is older changes nothing.
 func (f *Front) ask(ctx context.Context, from string) {
-	address := net.JoinHostPort(host(from), strconv.Itoa(int(f.site.GetFirstport()+peerPort)))
+	address := mtports.EntryCalls.At(f.site, from)
 	client := fleetv1connect.NewPeerServiceClient(f.asker, "http://"+address)
 	answer, err := client.Know(ctx, connect.NewRequest(&fleetv1.KnowRequest{}))
 	if err != nil {
@@ -214,8 +211,3 @@
 	mux.Handle(fleetv1connect.NewPeerServiceHandler(f))
 	return mux
 }
-
-// PeerAddress is where an entry answers other entries.
-func PeerAddress(site *fleetv1.Site) string {
-	return net.JoinHostPort(site.GetAddress(), strconv.Itoa(int(site.GetFirstport()+peerPort)))
-}
--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -24,9 +24,6 @@
 	// that its short runs end; those that are left go on under the new weights,
 	// and what they make then counts for nothing.
 	leadTime = 400 * time.Millisecond
-	// noticeTime is the least of it: no request should be on its way when the
-	// engine begins to refuse.
-	noticeTime = 20 * time.Millisecond
 	// againTime is the wait before an order without an answer is sent again,
 	// where the report shows nothing of it.
 	againTime = 600 * time.Millisecond
@@ -111,14 +108,15 @@
 	return max(0, time.Until(t.due.Add(-leadTime)))
 }
 
-// Next returns the order that is to be sent now, or nil.
+// Next returns the order that is to be sent now, or nil. An idle engine's is due
+// as soon as Ordering says so; its sidecar lets the entries know first.
 func (p *Plan) Next(report *fleetv1.Report) *fleetv1.Swap {
 	t, ok := p.behind(report)
 	if !ok {
 		return nil
 	}
 	now := time.Now()
-	idle := report.GetRunning()+report.GetWaiting() == 0 && !now.Before(t.due.Add(noticeTime-leadTime))
+	idle := report.GetRunning()+report.GetWaiting() == 0 && !now.Before(t.due.Add(-leadTime))
 	if report.GetBusy() || now.Before(t.due) && !idle || now.Before(p.blocked) {
 		return nil
 	}
--- a/internal/role/mtfleet/entry.go
+++ b/internal/role/mtfleet/entry.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/mustardtide/mustardtide/internal/relay/mtfront"
+	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
 	"github.com/mustardtide/mustardtide/platform/mtspeech"
@@ -18,7 +19,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	socket, err := mtpulse.Open(d.inner(0))
+	socket, err := mtpulse.Open(mtports.EntryWords.At(d.site, d.site.GetAddress()))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -31,7 +32,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	peer, err := d.listen(mtfront.PeerAddress(d.site), front.Peer())
+	peer, err := d.listen(mtports.EntryCalls.At(d.site, d.site.GetAddress()), front.Peer())
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/role/mtfleet/run.go
+++ b/internal/role/mtfleet/run.go
@@ -75,11 +75,6 @@
 
 func (quiet) Write(p []byte) (int, error) { return len(p), nil }
 
-// inner is an IP:PORT of the instance for the system's own use.
-func (d *daemon) inner(offset uint32) string {
-	return net.JoinHostPort(d.site.GetAddress(), strconv.Itoa(int(d.site.GetFirstport()+offset)))
-}
-
 // metrics serves the process's counters.
 func (d *daemon) metrics() (*mtserver.Server, error) {
 	address := net.JoinHostPort(d.site.GetAddress(), strconv.Itoa(metricsPort))
--- a/internal/role/mtfleet/sidecar.go
+++ b/internal/role/mtfleet/sidecar.go
@@ -6,6 +6,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/mustardtide/mustardtide/internal/relay/mtbeside"
+	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
 )
@@ -17,7 +18,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	socket, err := mtpulse.Open(mtbeside.Address(d.site.GetAddress(), d.site))
+	socket, err := mtpulse.Open(mtports.SidecarWords.At(d.site, d.site.GetAddress()))
 	if err != nil {
 		return trace.Wrap(err)
 	}
