--- a/internal/members/mtroster/roster_test.go
+++ b/internal/members/mtroster/roster_test.go
@@ -18,8 +18,8 @@
 }
 
 // change takes in a new value of target a; nil where it is gone.
-func change(r *mtroster.Roster, revision int64, now *fleetv1.Target) map[string]bool {
-	return r.Change(maps.All(map[string]*fleetv1.Target{"a": now}), revision)
+func change(r *mtroster.Roster, now *fleetv1.Target) map[string]bool {
+	return r.Change(maps.All(map[string]*fleetv1.Target{"a": now}), 0)
 }
 
 // A rollout changes every target's entry, and hundreds come in one answer of the
@@ -74,7 +74,7 @@
 		r.Back()
 		g.Expect(r.Replace(map[string]*fleetv1.Target{}, 4)).To(Equal([]string{"c"}))
 		g.Expect(r.View().Service("s")).To(HaveLen(2))
-		change(r, 0, target("a", 9, false))
+		change(r, target("a", 9, false))
 		time.Sleep(3 * time.Second)
 		g.Expect(r.Expire()).To(Equal([]string{"b"}))
 		g.Expect(r.View().Target("a").GetRevision()).To(Equal(int64(9)))
@@ -86,12 +86,12 @@
 func TestPlainChanges(t *testing.T) {
 	g := NewWithT(t)
 	r := mtroster.New()
-	change(r, 0, target("a", 5, true))
-	change(r, 0, target("a", 4, false))
+	change(r, target("a", 5, true))
+	change(r, target("a", 4, false))
 	g.Expect(r.View().Target("a").GetLeaving()).To(BeTrue())
 	number := r.View().Number()
-	g.Expect(change(r, 0, nil)).To(Equal(map[string]bool{"a": true}))
-	g.Expect(change(r, 0, nil)).To(BeEmpty())
+	g.Expect(change(r, nil)).To(Equal(map[string]bool{"a": true}))
+	g.Expect(change(r, nil)).To(BeEmpty())
 	g.Expect(r.View().Number()).To(BeNumerically(">", number))
 	g.Expect(r.View().All()).To(BeEmpty())
 }
@@ -104,7 +104,7 @@
 	g.Expect(r.Replace(map[string]*fleetv1.Target{}, 9)).To(BeEmpty())
 	g.Expect(r.View().Target("a")).NotTo(BeNil())
 	sum := r.View().Sum()
-	change(r, 0, target("a", 6, false))
+	change(r, target("a", 6, false))
 	g.Expect(r.View().Sum()).NotTo(Equal(sum))
 	number := r.View().Number()
 	r.Change(maps.All(map[string]*fleetv1.Target{}), 12)
