--- a/test/days.sh
+++ b/test/days.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# Plays every day of a folder on a site of the users' bench and prints those that
-# broke a rule or could not be played. FLEETBENCH names the bench's program.
+# Plays every day of a folder on one of the users' deployments and prints those
+# that broke a rule or could not be played. FLEETBENCH names the program that
+# plays days.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-: "${FLEETBENCH:?name the path of the program of the bench}"
+: "${FLEETBENCH:?name the path of the program that plays days}"
 [ $# -eq 2 ] || { echo "usage: test/days.sh SITEFILE FOLDER" >&2; exit 2; }
 # Half of the processors: a day that is short of time is given up.
 jobs=$(( ($(nproc) + 1) / 2 ))
