One queue of weights over the fleet, paced by the loads that are seen

Cause: turns of a sixth of the fleet every 0.6 s fit a load of 0.55 s. Where a load takes 1.1 s, and longer while over three load, turns piled up: up to 13 engines loaded at once, 4 to 5 s each, and an idle fleet refused a tenth of its requests. Weights named again meanwhile gave engines that were loading a second turn at once.

Change: the sidecars tell when their engine began to load and how long it took; each entry works the same queue out of that, the engine that loaded longest ago first, and tells each sidecar its place, the interval and whether enough load. How many at once follows from the loads seen beside each other. Overtaken weights are skipped.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -29,6 +29,7 @@
 	// oldest is how long after newer weights were named a run may still be
 	// sent to older ones.
 	oldest  time.Duration
+	allowed time.Duration
 	holders *mtholder.Memory
 
 	mu      sync.Mutex
@@ -36,6 +37,9 @@
 	// services are the records by service, in the order of their hashes.
 	services map[string][]*record
 	named    map[string]naming
+	// knees are, by service, the numbers of engines above which loads of weights
+	// were seen to slow each other down.
+	knees map[string]int
 }
 
 // naming are a model's newest weights, and when this process heard of each of
@@ -119,9 +123,11 @@
 	return &Board{
 		datacentre: datacentre,
 		oldest:     time.Duration(float64(allowed) * oldShare),
+		allowed:    allowed,
 		holders:    mtholder.New(),
 		records:    map[string]*record{},
 		named:      map[string]naming{},
+		knees:      map[string]int{},
 	}
 }
 
--- /dev/null
+++ b/internal/placement/mtboard/turns.go
@@ -0,0 +1,45 @@
+package mtboard
+
+import (
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/relay/mtturns"
+)
+
+// runTime is how long an engine's runs are given to end before new weights.
+const runTime = 400 * time.Millisecond
+
+// Turns works out in which order the service's engines load weights.
+func (b *Board) Turns(service *fleetv1.Service) *mtturns.Turns {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	naming := b.named[service.GetModel()]
+	named := time.Duration(0)
+	if len(naming.heard) > 0 {
+		named = time.Since(naming.heard[len(naming.heard)-1].since)
+	}
+	turns := mtturns.New(b.allowed, named, runTime, b.knees[service.GetName()])
+	newest := naming.weights.GetVersion()
+	for _, r := range b.services[service.GetName()] {
+		if r.replaced || r.target.GetLeaving() {
+			continue
+		}
+		behind := r.weights(service.GetModel()) < newest
+		if !r.fresh() {
+			turns.Put(r.target.GetId(), behind, false, nil, 0)
+			continue
+		}
+		last := r.state.GetLoad()
+		if last == nil {
+			last = &fleetv1.Load{}
+		}
+		turns.Put(r.target.GetId(), behind, r.state.GetOrdering(), last, time.Since(r.heard))
+	}
+	seed := uint64(naming.weights.GetRevision())
+	turns.Arrange(func(id string) uint64 { return xxh3.HashStringSeed(id, seed) })
+	b.knees[service.GetName()] = turns.Knee()
+	return turns
+}
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -56,8 +56,6 @@
 	held    *mtheld.Log
 	// target is the engine's id as the entries know it.
 	target string
-	place  uint32
-	total  uint32
 	report *fleetv1.Report
 	failed int
 	// telling says that the entries were told of an order to come, since told.
@@ -75,7 +73,7 @@
 		store:   mtobjects.New(site.GetStore(), network.Outside()),
 		trail:   trail,
 		engine:  newEngine(site.GetTarget(), network.Dial),
-		plan:    mtrollout.New(),
+		plan:    mtrollout.New(site.GetBounds().GetWeights().AsDuration()),
 		entries: map[string]*entry{},
 		held:    mtheld.New(),
 		report:  &fleetv1.Report{},
--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -25,8 +25,8 @@
 	}
 	e.last, e.pending = time.Now(), hello.GetPending()
 	s.target = hello.GetTarget()
-	if hello.GetTotal() > 0 {
-		s.place, s.total = hello.GetPlace(), hello.GetTotal()
+	if hello.GetTurn() != nil {
+		s.plan.Turn(hello.GetTurn())
 	}
 	for _, weights := range hello.GetWeights() {
 		s.name(weights, "entry "+hello.GetEntry())
@@ -72,10 +72,10 @@
 
 // name takes in named weights; the sidecar is locked.
 func (s *Sidecar) name(weights *fleetv1.Weights, source string) {
-	if s.plan.Name(weights, s.place, s.total) {
+	if s.plan.Name(weights) {
 		s.trail.Say(mtkind.WeightsNamed, zap.String("model", weights.GetModel()),
 			zap.Int64("version", weights.GetVersion()), zap.Int64("revision", weights.GetRevision()),
-			zap.Uint32("place", s.place), zap.Uint32("total", s.total), zap.String("from", source))
+			zap.Duration("due", s.plan.Until(s.report)), zap.String("from", source))
 	}
 }
 
@@ -92,6 +92,7 @@
 		Epoch:    s.held.Epoch(),
 		Peers:    s.peers(),
 		Pending:  s.pending() - s.entries[to].given(),
+		Load:     s.plan.Load(),
 	}
 }
 
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -1,12 +1,9 @@
 package mtfront
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
 	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
@@ -42,6 +39,7 @@
 // returns how many that were.
 func (f *Front) helloAll(far bool) int {
 	named := f.board.Named()
+	view := f.roster.View()
 	count := 0
 	catalog := f.catalog.Load()
 	if catalog == nil {
@@ -51,17 +49,16 @@
 		if service.GetModel() == "" {
 			continue
 		}
-		engines := turns(f.roster.View().Service(service.GetName()), named)
-		for place, engine := range engines {
-			if f.roster.View().Replaced(engine) || !far && engine.GetDatacentre() != f.site.GetDatacentre() {
+		turns := f.board.Turns(service)
+		for _, engine := range view.Service(service.GetName()) {
+			if view.Replaced(engine) || !far && engine.GetDatacentre() != f.site.GetDatacentre() {
 				continue
 			}
 			hello := &fleetv1.Hello{
 				Entry:   f.site.GetName(),
 				Target:  engine.GetId(),
 				Weights: named,
-				Place:   uint32(place),
-				Total:   uint32(len(engines)),
+				Turn:    turns.Of(engine.GetId()),
 			}
 			f.board.Fill(hello)
 			f.hello(mtports.SidecarWords.At(f.site, engine.GetAddress()), hello)
@@ -86,20 +83,6 @@
 	}
 }
 
-// turns orders engines for a rollout: anew for each version, so that it is not
-// always the same that come last, and alike at all entries.
-func turns(engines []*fleetv1.Target, named []*fleetv1.Weights) []*fleetv1.Target {
-	var seed uint64
-	for _, w := range named {
-		seed += uint64(w.GetRevision())
-	}
-	list := slices.Clone(engines)
-	slices.SortFunc(list, func(a, b *fleetv1.Target) int {
-		return cmp.Compare(xxh3.HashStringSeed(a.GetId(), seed), xxh3.HashStringSeed(b.GetId(), seed))
-	})
-	return list
-}
-
 // hear takes in a datagram.
 func (f *Front) hear(from string, data []byte) {
 	word := &fleetv1.Word{}
--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -1,89 +1,154 @@
 // Package mtrollout decides when one engine is ordered to load new weights.
 //
-// The load it answers is new weights for a whole fleet: ordered all at once,
-// every engine refuses requests while it loads, and each load takes longer the
-// more engines load. Turn by turn, most engines serve at any moment, and the
-// last has its turn well within the time that is allowed.
+// The load it answers is new weights for a whole fleet. An engine that loads
+// refuses requests, so most engines must serve at any moment: each waits for its
+// turn in a queue that all entries work out alike. The sidecar keeps the turn that
+// it heard, so that the engine gets its weights in time also where the entries
+// fall silent in the middle.
 package mtrollout
 
 import (
+	"cmp"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 )
 
 const (
-	// groups is into how many turns a fleet is divided.
-	groups = 6
-	// fewest is the least size of a turn: that many engines load at once
-	// without slowing each other.
-	fewest = 3
-	// turnTime is the time between turns: a load of 0.55 s and a little.
-	turnTime = 600 * time.Millisecond
-	// leadTime is how long before its order an engine gets no more requests, so
-	// that its short runs end; those that are left go on under the new weights,
-	// and what they make then counts for nothing.
-	leadTime = 400 * time.Millisecond
+	// firstLead is how long before its order an engine gets no more requests where
+	// no entry has told. Those that are left go on under the new weights, and what
+	// they make then counts for nothing.
+	firstLead = 400 * time.Millisecond
+	// shortestLead lets a request that is on its way arrive before the order;
+	// longestLead keeps an engine with one endless run from standing idle.
+	shortestLead = 50 * time.Millisecond
+	longestLead  = 2 * time.Second
 	// againTime is the wait before an order without an answer is sent again,
 	// where the report shows nothing of it.
 	againTime = 600 * time.Millisecond
 	// failedTime is the wait after an order that the engine did not take.
 	failedTime = time.Second
+	// fullTime is how long an entry's word counts that enough engines load: two of
+	// its greetings and a little, so that one that is lost changes nothing.
+	fullTime = 600 * time.Millisecond
+	// patience is the part of the time allowed for older weights by which a turn may
+	// come later than was first foreseen, while enough others load.
+	patience = 0.25
+	// unbounded stands for the time allowed where the settings name none.
+	unbounded = time.Minute
 )
 
 // Plan is for one engine. It is not safe for concurrent use.
 type Plan struct {
-	named map[string]turn
+	allowed time.Duration
+	named   map[string]due
 	// waits says that the engine does not serve the named weights yet.
 	waits   map[string]bool
 	blocked time.Time
+	// turn is the last that an entry told; full is when one said that enough
+	// engines load.
+	turn *fleetv1.Turn
+	full time.Time
+	load load
 }
 
-// turn is when new weights are due.
-type turn struct {
+// due is when new weights are to be ordered; last is until when that may be put
+// off.
+type due struct {
 	weights *fleetv1.Weights
-	due     time.Time
+	at      time.Time
+	last    time.Time
+}
+
+// New returns a plan without weights; allowed is the time after their naming in
+// which the engine must have them.
+func New(allowed time.Duration) *Plan {
+	if allowed <= 0 {
+		allowed = unbounded
+	}
+	return &Plan{allowed: allowed, named: map[string]due{}, waits: map[string]bool{}}
+}
+
+// Turn takes in the engine's turn as an entry sees it. An engine that waits follows
+// the queue where the entry sees it move, faster or slower than was foreseen; an
+// entry that hears little would put it off for ever.
+func (p *Plan) Turn(turn *fleetv1.Turn) {
+	p.turn = turn
+	p.full = time.Time{}
+	if turn.GetFull() {
+		p.full = time.Now()
+	}
+	if !turn.GetLive() {
+		return
+	}
+	for model, d := range p.named {
+		if p.waits[model] {
+			d.at = earlier(p.due(), d.last)
+			p.named[model] = d
+		}
+	}
 }
 
-// New returns a plan without weights.
-func New() *Plan { return &Plan{named: map[string]turn{}, waits: map[string]bool{}} }
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
 
-// Name takes in a model's newest weights and the engine's place among total
-// engines. It reports whether they are news.
-func (p *Plan) Name(weights *fleetv1.Weights, place, total uint32) bool {
+// due is when an engine with the last turn told is to be ordered.
+func (p *Plan) due() time.Time {
+	wait := p.turn.GetHead().AsDuration() + time.Duration(p.turn.GetPlace())*p.turn.GetInterval().AsDuration()
+	return time.Now().Add(p.lead() + min(max(0, wait), p.longest()))
+}
+
+// longest bounds what a turn may be put off: half of the time allowed.
+func (p *Plan) longest() time.Duration { return p.allowed / 2 }
+
+func (p *Plan) lead() time.Duration {
+	if p.turn.GetLead() == nil {
+		return firstLead
+	}
+	return min(longestLead, max(shortestLead, p.turn.GetLead().AsDuration()))
+}
+
+// Name takes in a model's newest weights. It reports whether they are news.
+func (p *Plan) Name(weights *fleetv1.Weights) bool {
 	old := p.named[weights.GetModel()]
 	if old.weights.GetVersion() >= weights.GetVersion() {
 		return false
 	}
-	due := time.Now().Add(leadTime + offset(place, total))
-	if p.waits[weights.GetModel()] && old.due.Before(due) {
+	at := p.due()
+	d := due{weights: weights, at: at, last: at.Add(p.patience())}
+	if p.waits[weights.GetModel()] && old.weights != nil && !p.load.busy {
 		// Weights that follow each other quickly must not put an engine off for
-		// ever: one that still waits for older ones keeps its turn.
-		due = old.due
+		// ever: one that still waits for older ones keeps its turn, and skips them.
+		// One that loads them has had its turn.
+		d.at, d.last = earlier(d.at, old.at), earlier(d.last, old.last)
 	}
 	p.waits[weights.GetModel()] = true
-	p.named[weights.GetModel()] = turn{weights: weights, due: due}
+	p.named[weights.GetModel()] = d
 	return true
 }
 
-// offset is the time of an engine's turn after the weights were named.
-func offset(place, total uint32) time.Duration {
-	size := max(fewest, (total+groups-1)/groups)
-	return time.Duration(place/size) * turnTime
-}
-
-// See takes in which weights the engine serves.
+// See takes in which weights the engine serves, and whether it loads.
 func (p *Plan) See(report *fleetv1.Report) {
 	for _, m := range report.GetModels() {
 		p.waits[m.GetModel()] = m.GetVersion() < p.named[m.GetModel()].weights.GetVersion()
 	}
+	p.load.see(report.GetBusy(), p.Ordering(report))
 }
 
+// Load is the last load of weights that was seen.
+func (p *Plan) Load() *fleetv1.Load { return p.load.tell() }
+
 // Named lists the newest weights of all models.
 func (p *Plan) Named() []*fleetv1.Weights {
 	var list []*fleetv1.Weights
-	for _, t := range p.named {
-		list = append(list, t.weights)
+	for _, d := range p.named {
+		list = append(list, d.weights)
 	}
 	return list
 }
@@ -94,36 +159,52 @@
 	if report.GetBusy() {
 		return true
 	}
-	t, ok := p.behind(report)
-	return ok && !time.Now().Before(t.due.Add(-leadTime)) && time.Now().After(p.blocked)
+	d, ok := p.behind(report)
+	if !ok || !time.Now().After(p.blocked) {
+		return false
+	}
+	return p.load.waiting() || p.come(d)
 }
 
+// come says that an engine's turn has come. While enough others load it is put
+// off for a while: loads would take longer, and too few engines would serve.
+func (p *Plan) come(d due) bool {
+	now := time.Now()
+	if now.Before(d.at.Add(-p.lead())) {
+		return false
+	}
+	return now.Sub(p.full) > fullTime || now.After(d.last)
+}
+
+// patience is how long a turn may be put off after it was first foreseen.
+func (p *Plan) patience() time.Duration { return time.Duration(patience * float64(p.allowed)) }
+
 // Until is how long nothing changes by itself; 0 where something is due now, and
 // less than zero where no turn is coming.
 func (p *Plan) Until(report *fleetv1.Report) time.Duration {
-	t, ok := p.behind(report)
+	d, ok := p.behind(report)
 	if !ok {
 		return -1
 	}
-	return max(0, time.Until(t.due.Add(-leadTime)))
+	return max(0, time.Until(d.at.Add(-p.lead())))
 }
 
 // Next returns the order that is to be sent now, or nil. An idle engine's is due
 // as soon as Ordering says so; its sidecar lets the entries know first.
 func (p *Plan) Next(report *fleetv1.Report) *fleetv1.Swap {
-	t, ok := p.behind(report)
-	if !ok {
+	d, ok := p.behind(report)
+	if !ok || report.GetBusy() || !p.Ordering(report) {
 		return nil
 	}
 	now := time.Now()
-	idle := report.GetRunning()+report.GetWaiting() == 0 && !now.Before(t.due.Add(-leadTime))
-	if report.GetBusy() || now.Before(t.due) && !idle || now.Before(p.blocked) {
+	idle := report.GetRunning()+report.GetWaiting() == 0
+	if !idle && now.Sub(p.load.since) < p.lead() {
 		return nil
 	}
 	// An order without an answer may still be carried out. It names the count of
 	// orders before it, so that of it and its repeat only one can be.
 	p.blocked = now.Add(againTime)
-	return &fleetv1.Swap{Weights: t.weights, Fence: t.weights.GetRevision(), Expected: report.GetOrders()}
+	return &fleetv1.Swap{Weights: d.weights, Fence: d.weights.GetRevision(), Expected: report.GetOrders()}
 }
 
 // Accepted notes that the engine took the order: its report shows the rest.
@@ -133,11 +214,64 @@
 func (p *Plan) Refused() { p.blocked = time.Now().Add(failedTime) }
 
 // behind returns the turn of the first model whose weights are older than named.
-func (p *Plan) behind(report *fleetv1.Report) (turn, bool) {
+func (p *Plan) behind(report *fleetv1.Report) (due, bool) {
 	for _, m := range report.GetModels() {
-		if t, ok := p.named[m.GetModel()]; ok && m.GetVersion() < t.weights.GetVersion() {
-			return t, true
+		if d, ok := p.named[m.GetModel()]; ok && m.GetVersion() < d.weights.GetVersion() {
+			return d, true
 		}
 	}
-	return turn{}, false
+	return due{}, false
+}
+
+// load is what is seen of an engine's loads. The zero value has seen none.
+type load struct {
+	seen bool
+	away bool
+	busy bool
+	// since is when the engine got no more requests, ordered when its load began.
+	since   time.Time
+	ordered time.Time
+	ended   time.Time
+	took    time.Duration
+	least   time.Duration
+}
+
+// waiting says that the engine gets no requests while its runs end.
+func (l *load) waiting() bool { return l.away && !l.busy }
+
+func (l *load) see(busy, away bool) {
+	now := time.Now()
+	if away && !l.away {
+		l.since, l.ended, l.took = now, time.Time{}, 0
+	}
+	if busy && !l.busy {
+		l.ordered = now
+	}
+	if !busy && l.busy {
+		l.ended = now
+		if l.seen && !l.ordered.IsZero() {
+			l.took = now.Sub(l.ordered)
+			l.least = min(cmp.Or(l.least, l.took), l.took)
+		}
+	}
+	if !l.seen && busy {
+		// A restarted sidecar meets an engine that loads: how long is not known.
+		l.ordered = time.Time{}
+	}
+	l.seen, l.busy, l.away = true, busy, away
+}
+
+func (l *load) tell() *fleetv1.Load {
+	told := &fleetv1.Load{}
+	if l.since.IsZero() {
+		return told
+	}
+	told.Begun = durationpb.New(time.Since(l.since))
+	if !l.ended.IsZero() {
+		told.Ended = durationpb.New(time.Since(l.ended))
+	}
+	if l.took > 0 {
+		told.Took, told.Least = durationpb.New(l.took), durationpb.New(l.least)
+	}
+	return told
 }
--- /dev/null
+++ b/internal/relay/mtturns/turns_test.go
@@ -0,0 +1,162 @@
+package mtturns_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/relay/mtturns"
+)
+
+const (
+	allowed = 12 * time.Second
+	lead    = 400 * time.Millisecond
+)
+
+// loaded is what a sidecar tells of a load that began and ended some time ago.
+func loaded(begun, ended, took, least time.Duration) *fleetv1.Load {
+	return &fleetv1.Load{
+		Begun: durationpb.New(begun), Ended: durationpb.New(ended),
+		Took: durationpb.New(took), Least: durationpb.New(least),
+	}
+}
+
+func id(i int) string { return fmt.Sprintf("e%02d", i) }
+
+func byName(id string) uint64 { return uint64(id[1])<<8 | uint64(id[2]) }
+
+// rolled is a queue of engines that have loaded one after another, so many at once.
+func rolled(engines, atOnce int, took, least time.Duration) *mtturns.Turns {
+	t := mtturns.New(allowed, time.Minute, lead, 0)
+	for i := range engines {
+		ended := time.Duration(engines-i) * took / time.Duration(atOnce)
+		t.Put(id(i), true, false, loaded(ended+took+lead, ended, took, least), 0)
+	}
+	t.Arrange(byName)
+	return t
+}
+
+// Loads take twice as long as any was seen to where six load at once: they share
+// what brings their weights, and it is enough for three. Turns for six at once
+// would keep six engines from serving and end no sooner.
+func TestSlowedLoadsShowHowManyFit(t *testing.T) {
+	g := NewWithT(t)
+	turns := rolled(18, 6, 2200*time.Millisecond, 1100*time.Millisecond)
+	g.Expect(turns.AtOnce()).To(Equal(3))
+	g.Expect(turns.Took()).To(Equal(1100 * time.Millisecond))
+	g.Expect(turns.Of(id(5)).GetInterval().AsDuration()).To(BeNumerically("~", 367*time.Millisecond, time.Millisecond))
+}
+
+// Loads that were not slowed say nothing against as many at once.
+func TestQuickLoadsKeepThePace(t *testing.T) {
+	NewWithT(t).Expect(rolled(18, 3, 550*time.Millisecond, 550*time.Millisecond).AtOnce()).To(Equal(3))
+}
+
+// One sidecar tells of a load of a millisecond, another of one of an hour: the pace
+// is that of the others.
+func TestFalseLoadsDoNotDecide(t *testing.T) {
+	g := NewWithT(t)
+	turns := mtturns.New(allowed, time.Minute, lead, 0)
+	for i := range 18 {
+		took := 1100 * time.Millisecond
+		switch i {
+		case 3:
+			took = time.Millisecond
+		case 4:
+			took = time.Hour
+		case 5:
+			took = -time.Second
+		}
+		turns.Put(id(i), true, false, loaded(time.Duration(40-i)*time.Second, time.Duration(38-i)*time.Second, took, took), 0)
+	}
+	turns.Arrange(byName)
+	g.Expect(turns.Took()).To(Equal(1100 * time.Millisecond))
+	g.Expect(turns.AtOnce()).To(Equal(3))
+}
+
+// Weights are named while some engines still wait for the last ones: these come
+// first, those that have just loaded last, so that none is put off for ever and
+// none loads twice while others have not.
+func TestTheLongestWaitIsFirst(t *testing.T) {
+	g := NewWithT(t)
+	turns := mtturns.New(allowed, time.Second, lead, 0)
+	turns.Put(id(0), true, false, loaded(3*time.Second, time.Second, time.Second, time.Second), 0)
+	turns.Put(id(1), true, false, &fleetv1.Load{}, 0)
+	turns.Put(id(2), true, true, &fleetv1.Load{Begun: durationpb.New(200 * time.Millisecond)}, 0)
+	turns.Put(id(3), true, false, loaded(9*time.Second, 8*time.Second, time.Second, time.Second), 0)
+	turns.Arrange(byName)
+	places := map[string]uint32{}
+	for i := range 4 {
+		places[id(i)] = turns.Of(id(i)).GetPlace()
+	}
+	g.Expect(places).To(Equal(map[string]uint32{id(1): 0, id(3): 1, id(0): 2, id(2): 3}))
+	g.Expect(turns.Of(id(1)).GetHead().AsDuration()).To(BeNumerically(">", 0), "one has begun just now")
+}
+
+// A fleet that hears little of its engines, and one whose engines are away.
+func TestWhatTheQueueTells(t *testing.T) {
+	g := NewWithT(t)
+	deaf := mtturns.New(allowed, time.Second, lead, 0)
+	crowded := mtturns.New(allowed, time.Second, lead, 0)
+	late := mtturns.New(allowed, 11*time.Second, lead, 0)
+	for i := range 18 {
+		deaf.Put(id(i), true, false, nil, 0)
+		crowded.Put(id(i), true, i < 8, &fleetv1.Load{}, 0)
+		late.Put(id(i), true, i < 8, &fleetv1.Load{}, 0)
+	}
+	for _, turns := range []*mtturns.Turns{deaf, crowded, late} {
+		turns.Arrange(byName)
+	}
+	g.Expect(deaf.Of(id(9)).GetLive()).To(BeFalse())
+	g.Expect(crowded.Of(id(9)).GetLive()).To(BeTrue())
+	g.Expect(crowded.Of(id(9)).GetFull()).To(BeTrue())
+	g.Expect(late.Of(id(9)).GetFull()).To(BeFalse(), "the time for older weights is nearly over")
+}
+
+// A fleet of 300 engines whose loads take half a second is through its turns in the
+// time of one of 18.
+func TestTurnsDoNotGrowWithTheFleet(t *testing.T) {
+	for _, engines := range []int{18, 45, 300, 2700} {
+		turns := rolled(engines, engines/6, 550*time.Millisecond, 550*time.Millisecond)
+		last := time.Duration(engines-1) * turns.Of(id(0)).GetInterval().AsDuration()
+		NewWithT(t).Expect(last).To(BeNumerically("<", 4*time.Second), fmt.Sprint(engines))
+	}
+}
+
+// However large the fleet, the last turn comes within the time allowed.
+func TestAllTurnsAreInTime(t *testing.T) {
+	for _, engines := range []int{1, 3, 9, 18, 45, 300, 2700} {
+		turns := mtturns.New(8*time.Second, 0, lead, 0)
+		for i := range engines {
+			turns.Put(fmt.Sprintf("e%04d", i), true, false, nil, 0)
+		}
+		turns.Arrange(byName)
+		last := time.Duration(engines-1) * turns.Of("e0000").GetInterval().AsDuration()
+		NewWithT(t).Expect(last).To(BeNumerically("<", 6*time.Second), fmt.Sprint(engines))
+	}
+}
+
+func ExampleTurns() {
+	turns := mtturns.New(8*time.Second, 0, 400*time.Millisecond, 0)
+	for i := range 18 {
+		turns.Put(id(i), true, false, &fleetv1.Load{}, 0)
+	}
+	turns.Arrange(byName)
+	fmt.Println(turns.AtOnce(), "at once,", turns.Took(), "each")
+	// Output: 4 at once, 1s each
+}
+
+func BenchmarkArrange(b *testing.B) {
+	for _, engines := range []int{18, 45, 2700} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				rolled(engines, max(1, engines/6), time.Second, time.Second)
+			}
+		})
+	}
+}
