Learn what the engines need from their answers

Cause: the times of a token read, of a start, a fetch and a step were those of one fleet's engines.

Ruled out: a factor a target alone (it is bounded at 0.7, and all costs that are no part of the estimate kept the old scale); the refusals as a burst's (the engines were a seventh loaded).

Change: mtspeed learns start, reading, begin and transfer of a fetch and the length of answers, each corrected by its share of the estimate, bounded, clipped against engines that fail or lie. Entries tell each other in digests; sidecars keep what they were told for entries that start. Nothing is refused for an estimate that rests on no answers. Costs are tokens or parts of the route's aim.

--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -34,6 +34,8 @@
 	WeightsInPlace   Kind = 7044
 	RequestDangerous Kind = 7045
 	PeerLost         Kind = 7046
+	SpeedAdopted     Kind = 7047
+	SpeedLearned     Kind = 7048
 )
 
 var fleetRows = map[Kind]row{
@@ -68,5 +70,7 @@
 	SwapUnanswered:   {"swap-unanswered", "the order got no answer: the engine's report will show what became of it"},
 	WeightsInPlace:   {"weights-in-place", "the engine serves the named weights"},
 	RequestDangerous: {"request-dangerous", "a request has crashed targets that ran it and is refused"},
+	SpeedLearned:     {"speed-learned", "what a service's engines need, as seen in their answers, has changed by a quarter or more"},
+	SpeedAdopted:     {"speed-adopted", "what another process has learned of a service's engines is taken over"},
 	PeerLost:         {"peer-lost", "another entry that knows more could not be asked"},
 }
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -16,6 +16,7 @@
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/placement/mtholder"
+	"github.com/mustardtide/mustardtide/internal/placement/mtspeed"
 )
 
 // stateTime is how long a sidecar's word counts as fresh: three of the intervals
@@ -40,6 +41,8 @@
 	// knees are, by service, the numbers of engines above which loads of weights
 	// were seen to slow each other down.
 	knees map[string]int
+	// speeds are those of the services' engines.
+	speeds map[string]*mtspeed.Speed
 }
 
 // naming are a model's newest weights, and when this process heard of each of
@@ -128,6 +131,7 @@
 		records:    map[string]*record{},
 		named:      map[string]naming{},
 		knees:      map[string]int{},
+		speeds:     map[string]*mtspeed.Speed{},
 	}
 }
 
--- a/internal/placement/mtboard/board_test.go
+++ b/internal/placement/mtboard/board_test.go
@@ -41,7 +41,7 @@
 	for _, part := range parts {
 		ask.Parts = append(ask.Parts, &fleetv1.Part{Id: part, Tokens: prompt / int64(len(parts))})
 	}
-	return mtboard.NewQuery(pool, ask, nil, "store:1")
+	return mtboard.NewQuery(pool, ask, nil, "store:1", 800*time.Millisecond)
 }
 
 func state(target string, version int64) *fleetv1.State {
@@ -165,7 +165,7 @@
 	b := board(1)
 	ask := &fleetv1.Ask{Model: "m", Prompt: 100, Parts: []*fleetv1.Part{{Id: "p", Tokens: 100}}}
 	salt := func(account *fleetv1.Account) string {
-		return b.Choose(mtboard.NewQuery(pool, ask, account, "")).Salt()
+		return b.Choose(mtboard.NewQuery(pool, ask, account, "", 0)).Salt()
 	}
 	shared := salt(&fleetv1.Account{Name: "a"})
 	g.Expect(salt(&fleetv1.Account{Name: "b"})).To(Equal(shared))
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/placement/mtspeed"
 )
 
 // Choice is a target chosen for one send, and the book-keeping of that send.
@@ -18,14 +19,17 @@
 	// changes.
 	address string
 
-	version  int64
-	salt     string
-	fetch    string
-	matched  int64
-	fetched  int64
-	kept     int64
-	settled  bool
-	reads    int64
+	version int64
+	salt    string
+	fetch   string
+	matched int64
+	fetched int64
+	kept    int64
+	settled bool
+	reads   int64
+	// work is what the estimate was made of, by the speed of the service's engines.
+	work     mtspeed.Work
+	speed    *mtspeed.Speed
 	estimate time.Duration
 	expected time.Duration
 	wait     time.Duration
@@ -33,6 +37,7 @@
 	cost     time.Duration
 
 	since time.Time
+	first time.Time
 	// lost are the cheapest of the others, unfit those that were not considered.
 	lost    []loser
 	unfit   unfit
@@ -84,6 +89,13 @@
 // Estimate is the expected time to the first byte.
 func (c *Choice) Estimate() time.Duration { return c.expected }
 
+// Known says that the estimate rests on answers of the service's engines.
+func (c *Choice) Known() bool {
+	c.board.mu.Lock()
+	defer c.board.mu.Unlock()
+	return c.speed.Known()
+}
+
 // Wait is the part of it behind others' prompts.
 func (c *Choice) Wait() time.Duration { return c.wait }
 
@@ -139,7 +151,10 @@
 	c.board.mu.Lock()
 	defer c.board.mu.Unlock()
 	c.read()
-	c.record.pace.learn(c.estimate, time.Since(c.since))
+	c.first = time.Now()
+	took := c.first.Sub(c.since)
+	c.record.pace.learn(c.estimate, took)
+	c.speed.Learn(c.work, took)
 	c.note(answer)
 	if c.salt != "" {
 		c.board.holders.Note(c.salt, c.id, c.query.ask.GetParts())
@@ -157,11 +172,15 @@
 		return
 	}
 	c.ended = true
+	begun := c.started
 	c.read()
 	c.record.running--
 	switch o := outcome.(type) {
 	case Good:
 		c.record.faults.good()
+		if begun {
+			c.speed.Answered(time.Since(c.first))
+		}
 	case Unreached:
 		c.record.faults.unreached()
 	case Broken:
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -4,49 +4,45 @@
 	"time"
 
 	"github.com/mustardtide/mustardtide/internal/placement/mtholder"
+	"github.com/mustardtide/mustardtide/internal/placement/mtspeed"
 )
 
 const (
-	// tokenTime is what an engine needs to read one token of a prompt: engines
-	// of today read 32 in a millisecond.
-	tokenTime = time.Second / 32_000
-	// firstTime is what a request needs besides the reading of its prompt.
-	firstTime = 70 * time.Millisecond
-	// fetchBase and fetchToken are what a fetch of cached parts costs on a link
-	// of 550 Gbit/s and 128 KB a token; twice as long between data centres.
-	fetchBase  = 4 * time.Millisecond
-	fetchToken = 2 * time.Microsecond
 	// fetchLeast is the least gain in tokens for which a fetch is asked: below
 	// it reading takes no longer.
 	fetchLeast = 64
-	// wasteTime is what a token costs that is read although another engine has it
-	// or is about to: the others' requests wait for that reading too, most of all
-	// when every cache is empty at once.
-	wasteTime = 2 * tokenTime
-	// copyTime is what a token costs that is fetched though it stays where it was:
-	// the second copy displaces another token, which the next request for it reads
-	// again. Caches are full most of the time, and every other token that goes is
-	// asked for again.
-	copyTime = 45 * time.Microsecond
-	// stepTime is what one more running request costs each of the others' tokens,
-	// over the some 70 tokens of a usual answer.
-	stepTime = 2 * time.Millisecond
-	// apartTime is what another data centre costs: a few milliseconds there and
-	// back, and bytes that are dear in one fleet.
-	apartTime = 80 * time.Millisecond
-	// strayTime is what a target that is not the prompt's home costs when nobody
+	// wasteShare is what a token costs, in times of its reading, that is read
+	// although another engine has it or is about to: the others' requests wait for
+	// that reading too, most of all when every cache is empty at once.
+	wasteShare = 2
+	// copyShare is the same for a token that is fetched though it stays where it
+	// was: the second copy displaces another token, which the next request for it
+	// reads again, at three times its reading with what that delays. Caches are full
+	// most of the time, and every other token that goes is asked for again.
+	copyShare = 1.5
+	// apartTokens is what another data centre costs, in tokens that are read: its
+	// way is some milliseconds, its bytes are dear in some fleets, and the prompt's
+	// parts are then kept in one data centre more.
+	apartTokens = 2560
+	// strayTokens is what a target that is not the prompt's home costs when nobody
 	// is known to hold the prompt: the other entries look for it at its home.
-	strayTime = 25 * time.Millisecond
-	// olderTime is what weights cost that are no longer the newest, from
-	// olderAfter on: from then on the answers count for less.
-	olderTime  = 120 * time.Millisecond
+	strayTokens = 800
+	// runShare is what one more request beside the others costs them, as a part of
+	// the time that a request needs besides its prompt: that is some ten steps of the
+	// engine, each of which takes a little longer, over the some 70 tokens of a usual
+	// answer.
+	runShare = 0.03
+	// olderShare is what weights cost that are no longer the newest, as a part of
+	// the route's aim, from olderAfter on: the answer counts for a fifth less, one
+	// that is late for two thirds less.
+	olderShare = 0.2
 	olderAfter = 1400 * time.Millisecond
 	// settleTime is how long after the naming of weights cold prompts go on to be
 	// the rule: each of a hundred shared prompts is asked for every few seconds.
 	settleTime = 4 * time.Second
-	// fullCost is what an engine without room in its memory or batch costs: its
-	// newest runs would be preempted and read again.
-	fullCost = 700 * time.Millisecond
+	// fullAims is what an engine without room in its memory or batch costs, in the
+	// route's aims: its newest runs would be preempted and read again, and be late.
+	fullAims = 1
 	// replacedCost is what a target costs at whose address another was listed
 	// later: it is almost surely gone.
 	replacedCost = 2 * time.Second
@@ -56,7 +52,7 @@
 
 // weigh makes out the bill of a model engine, in time to the first token.
 func (b *Board) weigh(c *Choice, matches map[string]mtholder.Match, home bool) {
-	q, r := c.query, c.record
+	q, r, speed := c.query, c.record, c.speed
 	own := matches[c.id]
 	c.matched = own.Tokens
 	c.kept = matches[storeHolder].Tokens
@@ -64,11 +60,12 @@
 	c.fetch, c.fetched = source, fetched
 	left := max(0, q.ask.GetPrompt()-own.Tokens-fetched)
 	c.reads = left
-	c.bill[itemStart] = firstTime
-	c.bill[itemQueue] = time.Duration(r.queued()) * tokenTime
-	c.bill[itemRead] = time.Duration(left) * tokenTime
+	c.work = mtspeed.NewWork(r.queued()+left, fetched)
+	c.bill[itemStart] = speed.Of(mtspeed.Start)
+	c.bill[itemQueue] = speed.Tokens(float64(r.queued()))
+	c.bill[itemRead] = speed.Tokens(float64(left))
 	if fetched > 0 {
-		c.bill[itemFetch] = fetchBase + time.Duration(fetched)*fetchToken
+		c.bill[itemFetch] = speed.Of(mtspeed.Begin) + time.Duration(fetched)*speed.Of(mtspeed.Fetch)
 	}
 	c.estimate = c.bill.sum()
 	pace := r.pace.now()
@@ -77,27 +74,29 @@
 	}
 	c.expected = c.bill.sum()
 	c.wait = c.bill[itemQueue]
-	c.bill[itemRuns] = time.Duration(r.others()+r.running) * stepTime
+	c.bill[itemRuns] = time.Duration(float64(r.others()+r.running) * runShare * float64(speed.Of(mtspeed.Start)))
 	if r.target.GetDatacentre() != b.datacentre {
-		c.bill[itemApart] = apartTime
+		c.bill[itemApart] = speed.Tokens(apartTokens)
 	}
 	if !home && own.Tokens == 0 && len(q.shared()) > 0 {
-		c.bill[itemStray] = strayTime
+		c.bill[itemStray] = speed.Tokens(strayTokens)
 	}
-	c.bill[itemWaste] = time.Duration(wasted(c, matches)) * wasteTime
-	c.bill[itemCopy] = time.Duration(fetched) * copyTime
+	c.bill[itemWaste] = speed.Tokens(wasteShare * float64(wasted(c, matches)))
+	c.bill[itemCopy] = speed.Tokens(copyShare * float64(fetched))
 	if b.older(q.model(), c.version) {
-		c.bill[itemOlder] = olderTime
+		c.bill[itemOlder] = share(olderShare, q.aim)
 	}
 	if r.astray(q) {
-		c.bill[itemLane] = laneTime
+		c.bill[itemLane] = speed.Tokens(laneTokens)
 	}
 	if r.full(q) {
-		c.bill[itemFull] = fullCost
+		c.bill[itemFull] = share(fullAims, q.aim)
 	}
 	r.doubts(&c.bill)
 }
 
+func share(of float64, d time.Duration) time.Duration { return time.Duration(of * float64(d)) }
+
 // doubts are what speaks against a target besides its load.
 func (r *record) doubts(b *bill) {
 	b[itemFaults] = r.faults.cost()
--- a/internal/placement/mtboard/lane.go
+++ b/internal/placement/mtboard/lane.go
@@ -3,14 +3,13 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // Long prompts among streams of short ones: while an engine reads a long prompt,
 // piece by piece, every other stream on it makes a token only after each piece,
 // and four tokens an event make a pause that callers see. So each data centre's
 // engines are divided into lanes, by a hash on which all entries agree; a
-// request leaves its lane where that is faster by laneTime.
+// request leaves its lane where that is faster by laneTokens.
 const (
 	// longPrompt is the length from which on a prompt belongs to the long lane:
 	// two of the pieces in which engines read.
@@ -18,9 +17,10 @@
 	// shortShare is the part of the engines for short prompts: a third of the
 	// engines' time at today's mix of both users.
 	shortShare = 1.0 / 3
-	// laneTime is what the other lane costs: the pauses that a long prompt of
-	// 9,000 tokens brings to the streams beside it, spread over their length.
-	laneTime = 120 * time.Millisecond
+	// laneTokens is what the other lane costs, in tokens that are read: the pauses
+	// that a long prompt of 9,000 tokens brings to the streams beside it, spread over
+	// their length.
+	laneTokens = 3840
 )
 
 // divide assigns the engines of each service and data centre to lanes.
--- a/internal/placement/mtboard/plain.go
+++ b/internal/placement/mtboard/plain.go
@@ -1,12 +1,15 @@
 package mtboard
 
-import "time"
+import (
+	"time"
+
+	"github.com/mustardtide/mustardtide/internal/placement/mtspeed"
+)
 
 const (
-	// workTime is the usual work of a plain request.
-	workTime = 40 * time.Millisecond
-	// apartPlain is what another data centre costs a plain request.
-	apartPlain = 6 * time.Millisecond
+	// apartPlain is what another data centre costs a plain request, as a part of a
+	// usual one's time: the way there and back.
+	apartPlain = 0.15
 	// loadTime is how long a target's word on its load counts.
 	loadTime = 300 * time.Millisecond
 )
@@ -19,14 +22,16 @@
 	if r.loaded != nil && time.Since(r.loadAge) < loadTime {
 		busy = max(busy, int(r.loaded.GetRunning()+r.loaded.GetWaiting()))
 	}
-	c.estimate = workTime
-	c.bill[itemQueue] = workTime * time.Duration(busy) / time.Duration(slots)
+	c.work = mtspeed.NewWork(0, 0)
+	work := c.speed.Of(mtspeed.Start)
+	c.estimate = work
+	c.bill[itemQueue] = work * time.Duration(busy) / time.Duration(slots)
 	if busy >= slots {
-		c.bill[itemQueue] += workTime * time.Duration(busy-slots+1) / time.Duration(slots)
+		c.bill[itemQueue] += work * time.Duration(busy-slots+1) / time.Duration(slots)
 	}
-	c.bill[itemStart] = time.Duration(float64(workTime) * r.pace.now())
+	c.bill[itemStart] = share(r.pace.now(), work)
 	if r.target.GetDatacentre() != b.datacentre {
-		c.bill[itemApart] = apartPlain
+		c.bill[itemApart] = share(apartPlain, work)
 	}
 	r.doubts(&c.bill)
 }
--- a/internal/placement/mtboard/query.go
+++ b/internal/placement/mtboard/query.go
@@ -1,6 +1,8 @@
 package mtboard
 
 import (
+	"time"
+
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 )
 
@@ -12,12 +14,21 @@
 	excluded map[string]bool
 	// cache is the address of a store of cached parts, or "".
 	cache string
+	// aim is the time to the first token within which an answer is worth most.
+	aim time.Duration
 }
 
+// defaultAim stands for the aim of a route that names none.
+const defaultAim = 500 * time.Millisecond
+
 // NewQuery describes a request of an account for a service; account may be nil.
-// cache is the address of a store of cached parts, "" where there is none.
-func NewQuery(service *fleetv1.Service, ask *fleetv1.Ask, account *fleetv1.Account, cache string) *Query {
-	return &Query{service: service, ask: ask, account: account, excluded: map[string]bool{}, cache: cache}
+// cache is the address of a store of cached parts, "" where there is none; aim is
+// the route's, 0 where it names none.
+func NewQuery(service *fleetv1.Service, ask *fleetv1.Ask, account *fleetv1.Account, cache string, aim time.Duration) *Query {
+	if aim <= 0 {
+		aim = defaultAim
+	}
+	return &Query{service: service, ask: ask, account: account, excluded: map[string]bool{}, cache: cache, aim: aim}
 }
 
 // Exclude leaves a target out of later choices.
--- a/internal/placement/mtboard/turns.go
+++ b/internal/placement/mtboard/turns.go
@@ -9,10 +9,10 @@
 	"github.com/mustardtide/mustardtide/internal/relay/mtturns"
 )
 
-// runTime is how long an engine's runs are given to end before new weights.
-const runTime = 400 * time.Millisecond
-
-// Turns works out in which order the service's engines load weights.
+// Turns works out in which order the service's engines load weights. An engine's
+// runs are given the mean length of an answer to end: longer, and engines wait on a
+// heavy day for a few long answers; shorter, and more of what was begun counts for
+// nothing.
 func (b *Board) Turns(service *fleetv1.Service) *mtturns.Turns {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -21,7 +21,7 @@
 	if len(naming.heard) > 0 {
 		named = time.Since(naming.heard[len(naming.heard)-1].since)
 	}
-	turns := mtturns.New(b.allowed, named, runTime, b.knees[service.GetName()])
+	turns := mtturns.New(b.allowed, named, b.speed(service.GetName()).Answer(), b.knees[service.GetName()])
 	newest := naming.weights.GetVersion()
 	for _, r := range b.services[service.GetName()] {
 		if r.replaced || r.target.GetLeaving() {
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -57,6 +57,9 @@
 	// target is the engine's id as the entries know it.
 	target string
 	report *fleetv1.Report
+	// speed is what an entry told last of the service's engines, kept for entries
+	// that start: all of them may have been killed at once.
+	speed  *fleetv1.Speed
 	failed int
 	// telling says that the entries were told of an order to come, since told.
 	telling bool
--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -31,7 +31,13 @@
 	for _, weights := range hello.GetWeights() {
 		s.name(weights, "entry "+hello.GetEntry())
 	}
+	if hello.GetSpeed() != nil {
+		s.speed = hello.GetSpeed()
+	}
 	states := s.answer(from, hello)
+	if hello.GetAsks() {
+		states[0].Speed = s.speed
+	}
 	shifted := s.shifted()
 	s.mu.Unlock()
 	for _, state := range states {
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -140,11 +140,13 @@
 
 // sweep closes idle connections and drops targets that did not come back.
 func (f *Front) sweep(ctx context.Context) error {
+	logged := map[string]*fleetv1.Speed{}
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-time.After(sweepTime):
 		}
+		f.tellSpeeds(logged)
 		for _, id := range f.roster.Expire() {
 			f.trail.Warn(mtkind.TargetGone, zap.String("target", id), zap.String("why", "its entry did not come back after the store's outage"))
 			f.listed()
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -50,6 +50,7 @@
 			continue
 		}
 		turns := f.board.Turns(service)
+		speed, known := f.board.Speed(service.GetName())
 		for _, engine := range view.Service(service.GetName()) {
 			if view.Replaced(engine) || !far && engine.GetDatacentre() != f.site.GetDatacentre() {
 				continue
@@ -59,6 +60,10 @@
 				Target:  engine.GetId(),
 				Weights: named,
 				Turn:    turns.Of(engine.GetId()),
+				Asks:    !known,
+			}
+			if far {
+				hello.Speed = speed
 			}
 			f.board.Fill(hello)
 			f.hello(mtports.SidecarWords.At(f.site, engine.GetAddress()), hello)
@@ -109,6 +114,7 @@
 		f.board.Fill(hello)
 		f.hello(from, hello)
 	}
+	f.adopt(state.GetSpeed(), "sidecar of "+state.GetTarget())
 	// The store may be out of this entry's reach, and not of another's.
 	for _, w := range state.GetNamed() {
 		f.named(w, "sidecar of "+state.GetTarget())
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -94,7 +94,7 @@
 		case <-time.After(digestTime):
 		}
 		view := f.roster.View()
-		digest := &fleetv1.Digest{Entry: f.site.GetName(), Targets: view.Complete(), Sum: view.Sum(), Suspects: f.recent()}
+		digest := &fleetv1.Digest{Entry: f.site.GetName(), Targets: view.Complete(), Sum: view.Sum(), Suspects: f.recent(), Speeds: f.board.Speeds()}
 		if catalog := f.catalog.Load(); catalog != nil {
 			digest.Catalog = catalog.Revision()
 		}
@@ -112,6 +112,9 @@
 	for _, suspect := range digest.GetSuspects() {
 		f.suspects.Crash(suspect.GetDigest(), suspect.GetSource())
 	}
+	for _, speed := range digest.GetSpeeds() {
+		f.adopt(speed, "entry "+digest.GetEntry())
+	}
 	if f.knowsLess(digest) {
 		select {
 		case f.learn <- ahead{from, digest}:
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -176,7 +176,7 @@
 func (r *request) serve(ctx context.Context) {
 	allowance := r.front.allowance(r.service.GetName())
 	allowance.Request()
-	query := mtboard.NewQuery(r.service, r.ask, r.account, r.front.catalog.Load().Cache(r.front.site.GetDatacentre()))
+	query := mtboard.NewQuery(r.service, r.ask, r.account, r.front.catalog.Load().Cache(r.front.site.GetDatacentre()), r.route.GetAim().AsDuration())
 	var last result = rejected{}
 	for r.mayTry(last) {
 		if r.tries > 0 && !allowance.Take(r.front.board.Entries()) {
@@ -209,9 +209,9 @@
 }
 
 // judge decides whether the request is sent away for now. What has run in part is
-// not.
+// not, nor anything while the engines' speed is a guess: an idle one would refuse.
 func (r *request) judge(choice *mtboard.Choice) mtshed.Verdict {
-	if r.delivered != nil || r.tries > 0 {
+	if r.delivered != nil || r.tries > 0 || !choice.Known() {
 		return mtshed.Verdict{}
 	}
 	return mtshed.Decide(r.rank(), choice.Estimate(), choice.Wait(), r.route.GetAim().AsDuration(), time.Until(r.until), r.route.GetTimeout().AsDuration())
--- a/internal/relay/mtrollout/plan_test.go
+++ b/internal/relay/mtrollout/plan_test.go
@@ -41,8 +41,8 @@
 }
 
 // loading is an engine's report while it loads.
-func loading(version, orders int64) *fleetv1.Report {
-	r := report(version, orders, 0)
+func loading(orders int64) *fleetv1.Report {
+	r := report(1, orders, 0)
 	r.Busy = true
 	return r
 }
@@ -105,7 +105,7 @@
 		plan := planned(0)
 		plan.Name(named(2))
 		ordered(plan, report(1, 0, 0))
-		plan.See(loading(1, 1))
+		plan.See(loading(1))
 		plan.Turn(turn(17))
 		plan.Name(named(3))
 		time.Sleep(time.Second)
@@ -194,7 +194,7 @@
 		seen, restarted := planned(0), planned(0)
 		seen.See(report(1, 0, 0))
 		for _, plan := range []*mtrollout.Plan{seen, restarted} {
-			plan.See(loading(1, 1))
+			plan.See(loading(1))
 		}
 		time.Sleep(1100 * time.Millisecond)
 		for _, plan := range []*mtrollout.Plan{seen, restarted} {
@@ -221,8 +221,8 @@
 		g.Expect(again.GetExpected()).To(Equal(int64(4)))
 		g.Expect(again.GetFence()).To(Equal(first.GetFence()))
 		g.Expect(took).To(BeNumerically(">=", 500*time.Millisecond))
-		g.Expect(plan.Next(loading(1, 5))).To(BeNil())
-		g.Expect(plan.Ordering(loading(1, 5))).To(BeTrue())
+		g.Expect(plan.Next(loading(5))).To(BeNil())
+		g.Expect(plan.Ordering(loading(5))).To(BeTrue())
 		plan.See(report(2, 5, 0))
 		g.Expect(plan.Next(report(2, 5, 0))).To(BeNil())
 		g.Expect(plan.Ordering(report(2, 5, 0))).To(BeFalse())
