--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -36,6 +36,7 @@
 
 // Front is the entry's state.
 type Front struct {
+	begun  time.Time
 	site   *fleetv1.Site
 	store  *mtobjects.Client
 	socket mtpulse.Socket
@@ -74,6 +75,7 @@
 // bounded.
 func New(site *fleetv1.Site, network *mtnet.Net, socket mtpulse.Socket, trail *mttrail.Trail) *Front {
 	f := &Front{
+		begun:      time.Now(),
 		site:       site,
 		store:      mtobjects.New(site.GetStore(), network.Outside()),
 		socket:     socket,
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtreturn"
 	"github.com/mustardtide/mustardtide/internal/admission/mtshed"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
@@ -24,9 +25,6 @@
 	defaultBody = 4 << 20
 	// defaultTime bounds a request whose route and caller name no time.
 	defaultTime = 30 * time.Second
-	// startAgain is when a caller should come back to an entry that knows no
-	// configuration yet: it takes some milliseconds to read one.
-	startAgain = 300 * time.Millisecond
 )
 
 // request is one caller's request and what was decided about it.
@@ -105,7 +103,7 @@
 func (r *request) resolve() bool {
 	catalog := r.front.catalog.Load()
 	if catalog == nil {
-		r.reject("no configuration is known yet", startAgain)
+		r.reject("no configuration is known yet", mtreturn.After(time.Since(r.front.begun)))
 		return false
 	}
 	path, _, _ := strings.Cut(r.uri, "?")
