Save parts to the store while fetches from it pay

Cause: parts were saved only once weights were four seconds old, a constant that fits the store's link of one fleet: on others every part was read by several engines after each naming.

Change: the entry learns how much longer than their transfer fetches from the store take of late; parts are saved, and guessed to be there, while that is less than reading them. The naming's age plays no part any more.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -43,6 +43,8 @@
 	knees map[string]int
 	// speeds are those of the services' engines.
 	speeds map[string]*mtspeed.Speed
+	// delay is that of fetches from the store of cached parts.
+	delay delay
 }
 
 // naming are a model's newest weights, and when this process heard of each of
@@ -72,15 +74,6 @@
 	return 0
 }
 
-// settled is how long no new weights were named.
-func (n naming) settled() time.Duration {
-	if len(n.heard) <= 1 {
-		// The first version that a process hears of may be old.
-		return time.Hour
-	}
-	return time.Since(n.heard[len(n.heard)-1].since)
-}
-
 // record is what the entry knows of one target.
 type record struct {
 	target *fleetv1.Target
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -25,8 +25,12 @@
 	matched int64
 	fetched int64
 	kept    int64
-	settled bool
-	reads   int64
+	// stored says that the parts are fetched from the store, slack its delay when
+	// the target was chosen, and save that it should have them once they are read.
+	stored bool
+	slack  time.Duration
+	save   bool
+	reads  int64
 	// work is what the estimate was made of, by the speed of the service's engines.
 	work     mtspeed.Work
 	speed    *mtspeed.Speed
@@ -68,12 +72,10 @@
 func (c *Choice) Fetch() string { return c.fetch }
 
 // Save is the address of the store that the parts are to be sent to once they
-// are read, or "". They are kept where nobody is known to hold all shared ones,
-// nor the store; but not for weights that were named a moment ago: these make
-// every prompt cold at once, which would fill the store's link.
+// are read, or "". They are kept where nobody is known to hold all shared ones, nor
+// the store, while its link is not too busy for a fetch to pay.
 func (c *Choice) Save() string {
-	tokens := c.query.sharedTokens()
-	if !c.settled || tokens < saveLeast || c.matched+c.fetched >= tokens || c.kept >= tokens {
+	if !c.save {
 		return ""
 	}
 	return c.query.cache
@@ -131,6 +133,9 @@
 	c.since = time.Now()
 	c.record.running++
 	c.record.pending += c.reads
+	c.slack = c.board.delay.now()
+	tokens := c.query.sharedTokens()
+	c.save = c.salt != "" && c.matched+c.fetched < tokens && c.kept < tokens && c.board.pays(c)
 	if c.salt != "" {
 		c.board.holders.Read(c.salt, c.id, c.query.shared())
 	}
@@ -154,7 +159,11 @@
 	c.first = time.Now()
 	took := c.first.Sub(c.since)
 	c.record.pace.learn(c.estimate, took)
-	c.speed.Learn(c.work, took)
+	if c.stored {
+		c.board.delay.learn(took - c.expected + c.slack)
+	} else {
+		c.speed.Learn(c.work, took)
+	}
 	c.note(answer)
 	if c.salt != "" {
 		c.board.holders.Note(c.salt, c.id, c.query.ask.GetParts())
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -52,7 +52,6 @@
 	query   *Query
 	home    string
 	newest  bool
-	settled bool
 	salts   map[int64]string
 	matches map[int64]map[string]mtholder.Match
 }
@@ -64,7 +63,6 @@
 	}
 	w.home = b.home(q)
 	w.newest = b.anyNewest(q)
-	w.settled = b.named[q.model()].settled() > settleTime
 	w.salts = map[int64]string{}
 	w.matches = map[int64]map[string]mtholder.Match{}
 	return w
@@ -97,7 +95,7 @@
 		w.salts[c.version] = q.salt(c.version)
 		w.matches[c.version] = w.board.holders.Matches(w.salts[c.version], q.ask.GetParts())
 	}
-	c.salt, c.settled = w.salts[c.version], w.settled
+	c.salt = w.salts[c.version]
 	w.board.weigh(c, w.matches[c.version], c.id == w.home)
 }
 
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -37,9 +37,6 @@
 	// that is late for two thirds less.
 	olderShare = 0.2
 	olderAfter = 1400 * time.Millisecond
-	// settleTime is how long after the naming of weights cold prompts go on to be
-	// the rule: each of a hundred shared prompts is asked for every few seconds.
-	settleTime = 4 * time.Second
 	// fullAims is what an engine without room in its memory or batch costs, in the
 	// route's aims: its newest runs would be preempted and read again, and be late.
 	fullAims = 1
@@ -72,6 +69,10 @@
 	for i := range c.bill {
 		c.bill[i] = time.Duration(float64(c.bill[i]) * pace)
 	}
+	if fetched > 0 && source == q.cache {
+		c.stored = true
+		c.bill[itemFetch] += b.delay.now()
+	}
 	c.expected = c.bill.sum()
 	c.wait = c.bill[itemQueue]
 	c.bill[itemRuns] = time.Duration(float64(r.others()+r.running) * runShare * float64(speed.Of(mtspeed.Start)))
@@ -130,7 +131,7 @@
 			best, address, local = match, from, near
 		}
 	}
-	if address == "" && c.settled && c.query.sharedTokens() >= saveLeast {
+	if address == "" && b.pays(c) {
 		// The store may hold parts that this process has not heard of; a miss
 		// costs a millisecond.
 		return c.query.cache, 0
@@ -141,6 +142,13 @@
 	return address, best.Read - own.Tokens
 }
 
+// pays says that fetches of the prompt's shared parts from the store wait for less
+// time than it takes to read them, so that they are worth its link.
+func (b *Board) pays(c *Choice) bool {
+	tokens := c.query.sharedTokens()
+	return c.query.cache != "" && tokens >= saveLeast && b.delay.now() < c.speed.Tokens(float64(tokens))
+}
+
 // storeHolder stands for the store of cached parts among the holders.
 const storeHolder = "store"
 
--- /dev/null
+++ b/internal/placement/mtboard/delay.go
@@ -0,0 +1,43 @@
+package mtboard
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// delayHalf is the time in which a delay counts half: the store's link is free
+	// again some seconds after a burst, and only a fetch shows it.
+	delayHalf = 2 * time.Second
+	// delayStep is how far one fetch moves it.
+	delayStep = 0.2
+	// delayMost bounds what one fetch says: a transfer that would wait longer is not
+	// begun by the engines.
+	delayMost = 2 * time.Second
+)
+
+// delay is how much longer than their transfer fetches from the store of cached
+// parts take of late.
+//
+// The load it answers is new weights on a busy day: every prompt is cold at once, and
+// what the engines save fills the store's link, which the whole fleet shares. A fetch
+// then takes longer than reading. On other links, or on a quiet day, the store holds
+// each part moments after its first reading.
+type delay struct {
+	mean time.Duration
+	at   time.Time
+}
+
+func (d *delay) now() time.Duration {
+	if d.mean == 0 {
+		return 0
+	}
+	return share(math.Exp2(-time.Since(d.at).Seconds()/delayHalf.Seconds()), d.mean)
+}
+
+// learn takes in by how much one fetch took longer than its transfer.
+func (d *delay) learn(excess time.Duration) {
+	excess = min(delayMost, max(0, excess))
+	d.mean = share(1-delayStep, d.now()) + share(delayStep, excess)
+	d.at = time.Now()
+}
