Let each part belong to one of the stores of cached parts

Cause: on a fleet with a store in each data centre, entries saved a part to the store of their own data centre, told the others that "the store" holds it, and these fetched it from theirs in vain; each store held the same parts at best, a third of what is asked for.

Change: a part's store is chosen by hash, alike at all entries; holders and delays are by address; a fetch that ends late by the time of reading is a miss, and the store is forgotten as a holder. Fetches pay while they wait for less than half of the aim: what waits for a link leaves its engine to others. A part has 64 holders, not 6: an engine of 43 that was not among the six counted as without it. What an engine's link needs for a token is taken from the configuration at first.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -43,8 +43,8 @@
 	knees map[string]int
 	// speeds are those of the services' engines.
 	speeds map[string]*mtspeed.Speed
-	// delay is that of fetches from the store of cached parts.
-	delay delay
+	// delays are those of fetches from the stores of cached parts, by address.
+	delays map[string]*delay
 }
 
 // naming are a model's newest weights, and when this process heard of each of
@@ -125,6 +125,7 @@
 		named:      map[string]naming{},
 		knees:      map[string]int{},
 		speeds:     map[string]*mtspeed.Speed{},
+		delays:     map[string]*delay{},
 	}
 }
 
@@ -200,8 +201,8 @@
 
 // Notice takes in what another entry has given an engine to read.
 func (b *Board) Notice(notice *fleetv1.Notice) {
-	if notice.GetSaved() {
-		b.holders.Keep(notice.GetSalt(), storeHolder, notice.GetParts())
+	if store := notice.GetStore(); store != "" {
+		b.holders.Keep(notice.GetSalt(), store, notice.GetParts())
 	}
 	if notice.GetRead() {
 		b.holders.Note(notice.GetSalt(), notice.GetTarget(), notice.GetParts())
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -133,7 +133,7 @@
 	c.since = time.Now()
 	c.record.running++
 	c.record.pending += c.reads
-	c.slack = c.board.delay.now()
+	c.slack = c.board.delay(c.query.cache).now()
 	tokens := c.query.sharedTokens()
 	c.save = c.salt != "" && c.matched+c.fetched < tokens && c.kept < tokens && c.board.pays(c)
 	if c.salt != "" {
@@ -160,7 +160,7 @@
 	took := c.first.Sub(c.since)
 	c.record.pace.learn(c.estimate, took)
 	if c.stored {
-		c.board.delay.learn(took - c.expected + c.slack)
+		c.fetchedIn(took)
 	} else {
 		c.speed.Learn(c.work, took)
 	}
@@ -169,7 +169,7 @@
 		c.board.holders.Note(c.salt, c.id, c.query.ask.GetParts())
 	}
 	if c.Save() != "" {
-		c.board.holders.Keep(c.salt, storeHolder, c.query.shared())
+		c.board.holders.Keep(c.salt, c.query.cache, c.query.shared())
 	}
 }
 
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -43,7 +43,7 @@
 }
 
 func (b *Board) candidate(r *record, q *Query) Choice {
-	return Choice{board: b, record: r, query: q, speed: b.speed(q.service.GetName()), id: r.target.GetId(), address: r.target.GetAddress()}
+	return Choice{board: b, record: r, query: q, speed: b.speed(q.service.GetName(), q.service.GetTransfer().AsDuration()), id: r.target.GetId(), address: r.target.GetAddress()}
 }
 
 // weighing is what all candidates of one choice share.
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -52,7 +52,7 @@
 	q, r, speed := c.query, c.record, c.speed
 	own := matches[c.id]
 	c.matched = own.Tokens
-	c.kept = matches[storeHolder].Tokens
+	c.kept = matches[q.cache].Tokens
 	source, fetched := b.source(c, matches)
 	c.fetch, c.fetched = source, fetched
 	left := max(0, q.ask.GetPrompt()-own.Tokens-fetched)
@@ -71,7 +71,7 @@
 	}
 	if fetched > 0 && source == q.cache {
 		c.stored = true
-		c.bill[itemFetch] += b.delay.now()
+		c.bill[itemFetch] += b.delay(q.cache).now()
 	}
 	c.expected = c.bill.sum()
 	c.wait = c.bill[itemQueue]
@@ -132,8 +132,8 @@
 		}
 	}
 	if address == "" && b.pays(c) {
-		// The store may hold parts that this process has not heard of; a miss
-		// costs a millisecond.
+		// The store may hold parts that this process has not heard of; a miss costs a
+		// millisecond.
 		return c.query.cache, 0
 	}
 	if address == "" {
@@ -142,21 +142,22 @@
 	return address, best.Read - own.Tokens
 }
 
-// pays says that fetches of the prompt's shared parts from the store wait for less
-// time than it takes to read them, so that they are worth its link.
+// storeAims is the part of the route's aim that fetches from a store may wait for its
+// link: their answers are in time then, and while they wait their engines read other
+// prompts.
+const storeAims = 0.5
+
+// pays says that the prompt's shared parts are worth the store's link.
 func (b *Board) pays(c *Choice) bool {
-	tokens := c.query.sharedTokens()
-	return c.query.cache != "" && tokens >= saveLeast && b.delay.now() < c.speed.Tokens(float64(tokens))
+	return c.query.cache != "" && c.query.sharedTokens() >= saveLeast &&
+		b.delay(c.query.cache).now() < share(storeAims, c.query.aim)
 }
 
-// storeHolder stands for the store of cached parts among the holders.
-const storeHolder = "store"
-
 // holder returns the address of a holder that can be fetched from, "" where it
 // can't, and whether it is in the target's data centre.
 func (b *Board) holder(c *Choice, id string) (string, bool) {
-	if id == storeHolder {
-		return c.query.cache, false
+	if id == c.query.cache {
+		return id, false
 	}
 	r := b.records[id]
 	if id == c.id || r == nil || time.Now().Before(r.faults.out) {
--- a/internal/placement/mtboard/delay.go
+++ b/internal/placement/mtboard/delay.go
@@ -16,7 +16,7 @@
 	delayMost = 2 * time.Second
 )
 
-// delay is how much longer than their transfer fetches from the store of cached
+// delay is how much longer than their transfer fetches from a store of cached
 // parts take of late.
 //
 // The load it answers is new weights on a busy day: every prompt is cold at once, and
@@ -41,3 +41,32 @@
 	d.mean = share(1-delayStep, d.now()) + share(delayStep, excess)
 	d.at = time.Now()
 }
+
+// delay is that of a store of cached parts; the board is locked.
+func (b *Board) delay(store string) *delay {
+	d := b.delays[store]
+	if d == nil {
+		d = &delay{}
+		b.delays[store] = d
+	}
+	return d
+}
+
+// missShare is the part of the reading of what should have been fetched by which a
+// first token must come later for the fetch to count as a miss.
+const missShare = 0.6
+
+// fetchedIn takes in a first token after a fetch from the store. One that came later
+// by about as much as the reading takes has found the parts gone: the store was
+// restarted, or has dropped them. A later one met a busy link.
+func (c *Choice) fetchedIn(took time.Duration) {
+	store := c.query.cache
+	excess := took - c.expected + c.slack
+	reading := c.speed.Tokens(float64(c.fetched))
+	if excess > share(missShare, reading) && excess < 2*reading {
+		c.board.holders.Drop(c.salt, store, c.query.shared())
+		return
+	}
+	c.board.delay(store).learn(excess)
+	c.board.holders.Keep(c.salt, store, c.query.shared())
+}
--- a/internal/placement/mtboard/query.go
+++ b/internal/placement/mtboard/query.go
@@ -21,6 +21,15 @@
 // defaultAim stands for the aim of a route that names none.
 const defaultAim = 500 * time.Millisecond
 
+// Home is the part by which a request belongs to a target and a store: its deepest
+// shared one, "" where it has none.
+func Home(ask *fleetv1.Ask) string {
+	if parts := ask.GetParts(); len(parts) > 1 {
+		return parts[len(parts)-2].GetId()
+	}
+	return ""
+}
+
 // NewQuery describes a request of an account for a service; account may be nil.
 // cache is the address of a store of cached parts, "" where there is none; aim is
 // the route's, 0 where it names none.
--- a/internal/placement/mtboard/speed.go
+++ b/internal/placement/mtboard/speed.go
@@ -1,15 +1,18 @@
 package mtboard
 
 import (
+	"time"
+
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/placement/mtspeed"
 )
 
-// speed is that of a service's engines; the board is locked.
-func (b *Board) speed(service string) *mtspeed.Speed {
+// speed is that of a service's engines, of which the operators say what a transfer
+// needs; the board is locked.
+func (b *Board) speed(service string, transfer time.Duration) *mtspeed.Speed {
 	s := b.speeds[service]
 	if s == nil {
-		s = mtspeed.New()
+		s = mtspeed.New(transfer)
 		b.speeds[service] = s
 	}
 	return s
@@ -35,7 +38,7 @@
 func (b *Board) Speed(service string) (*fleetv1.Speed, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	told := b.speed(service).Tell()
+	told := b.speed(service, 0).Tell()
 	if told == nil {
 		return nil, false
 	}
@@ -52,5 +55,5 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.speed(told.GetService()).Adopt(told)
+	return b.speed(told.GetService(), 0).Adopt(told)
 }
--- a/internal/placement/mtholder/holder.go
+++ b/internal/placement/mtholder/holder.go
@@ -18,18 +18,20 @@
 const (
 	// kept bounds the parts that are remembered: at about 200 bytes each, 3 MB.
 	kept = 16384
-	// holders bounds the targets remembered for one part; more add nothing, as
-	// one source is named for a fetch.
-	holders = 6
+	// holders bounds the targets remembered for one part: of the first parts, which
+	// are in nearly every prompt, most engines of a fleet of today hold a copy, and one
+	// that is not known to would be passed over.
+	holders = 64
 	// believed is how long a part counts as held after its last use where the
 	// target has not told of it: engines drop what was not used for some seconds
 	// when their memory fills.
 	believed = 3 * time.Second
 	// given is how long a part counts as about to be read.
 	given = 3 * time.Second
-	// keeping is how long a store counts as holding a part: it has several times
-	// an engine's memory.
-	keeping = 20 * time.Second
+	// keeping is how long a store counts as holding a part after it was sent there or
+	// fetched from there: it has several times an engine's memory, and a fetch that
+	// misses shows.
+	keeping = time.Minute
 	// told is how long a part counts as held where the target has told of it: a few
 	// events never come.
 	told = time.Minute
@@ -208,6 +210,17 @@
 	return found
 }
 
+// Drop forgets that a target holds the parts.
+func (m *Memory) Drop(salt, target string, parts []*fleetv1.Part) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, part := range parts {
+		if element := m.parts[key{salt, part.GetId()}]; element != nil {
+			element.Value.(*record).drop(target)
+		}
+	}
+}
+
 // Forget drops what a target held: it has started anew or changed its weights.
 func (m *Memory) Forget(target string) {
 	m.mu.Lock()
--- a/internal/placement/mtspeed/speed.go
+++ b/internal/placement/mtspeed/speed.go
@@ -95,8 +95,15 @@
 	return w
 }
 
-// New returns the speed of engines of which nothing was seen.
-func New() *Speed { return &Speed{times: first} }
+// New returns the speed of engines of which nothing was seen but, where that is above
+// 0, what their links need for a token.
+func New(transfer time.Duration) *Speed {
+	s := &Speed{times: first}
+	if transfer > 0 {
+		s.times[Fetch] = within(Fetch, float64(transfer))
+	}
+	return s
+}
 
 // Of is the time of one part.
 func (s *Speed) Of(part Part) time.Duration { return time.Duration(s.times[part]) }
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -146,7 +146,10 @@
 	if !worth {
 		return
 	}
-	notice := &fleetv1.Notice{Target: choice.Target(), Salt: choice.Salt(), Parts: parts, Read: read, Saved: read && choice.Save() != ""}
+	notice := &fleetv1.Notice{Target: choice.Target(), Salt: choice.Salt(), Parts: parts, Read: read}
+	if read {
+		notice.Store = choice.Save()
+	}
 	r.front.peers.tell(r.front.socket, &fleetv1.Word{Word: &fleetv1.Word_Notice{Notice: notice}})
 }
 
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -174,7 +174,7 @@
 func (r *request) serve(ctx context.Context) {
 	allowance := r.front.allowance(r.service.GetName())
 	allowance.Request()
-	query := mtboard.NewQuery(r.service, r.ask, r.account, r.front.catalog.Load().Cache(r.front.site.GetDatacentre()), r.route.GetAim().AsDuration())
+	query := mtboard.NewQuery(r.service, r.ask, r.account, r.front.catalog.Load().Cache(mtboard.Home(r.ask)), r.route.GetAim().AsDuration())
 	var last result = rejected{}
 	for r.mayTry(last) {
 		if r.tries > 0 && !allowance.Take(r.front.board.Entries()) {
--- a/internal/routing/mtcatalog/catalog.go
+++ b/internal/routing/mtcatalog/catalog.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 
+	"github.com/zeebo/xxh3"
+
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 )
 
@@ -78,16 +80,21 @@
 // Limits bound what callers send.
 func (c *Catalog) Limits() *fleetv1.Limits { return c.source.GetLimits() }
 
-// Cache returns the address of the store of KV cache nearest to a data centre,
-// or "".
-func (c *Catalog) Cache(datacentre string) string {
+// Cache returns the address of the store of KV cache in which a prompt's part
+// belongs, or "" where there is none. All entries agree on it: each part is then read
+// once for the fleet, and the stores hold as much as all of them together. With a
+// store for each data centre's entries each would hold the same, a third of what is
+// asked for, and every part would be read three times.
+func (c *Catalog) Cache(part string) string {
 	found := ""
+	best := uint64(0)
 	for _, service := range c.source.GetServices() {
-		if service.GetCache() == "" {
+		address := service.GetCache()
+		if address == "" {
 			continue
 		}
-		if found == "" || service.GetDatacentre() == datacentre {
-			found = service.GetCache()
+		if score := xxh3.HashStringSeed(part, xxh3.HashString(address)); found == "" || score > best {
+			best, found = score, address
 		}
 	}
 	return found
