Leave a mechanism out of an entry, to measure what it is worth

A hidden flag of the entry, for development: the parts of a choice's cost, the store, cache events, notices, pace, learned speeds, shedding and repeats. status and the metrics show what was learned of the engines.

--- a/internal/command/mttable/entry.go
+++ b/internal/command/mttable/entry.go
@@ -11,7 +11,8 @@
 )
 
 func bindEntry(c *kingpin.CmdClause) action {
-	return daemon(c, mtdaemon.RunEntry, mtfleet.RunEntry)
+	without := c.Flag("without", "Development: leave a mechanism out, to measure what it is worth.").Hidden().Strings()
+	return daemon(c, mtdaemon.RunEntry, func() error { return mtfleet.RunEntry(*without) })
 }
 
 // daemon binds a daemon that runs with a settings file of the project's own, or
--- a/internal/command/mttable/fleet.go
+++ b/internal/command/mttable/fleet.go
@@ -33,6 +33,11 @@
 	for _, w := range known.GetNamed() {
 		fmt.Fprintf(out, "model %s: weights %d named at revision %d\n", w.GetModel(), w.GetVersion(), w.GetRevision())
 	}
+	for _, s := range known.GetSpeeds() {
+		fmt.Fprintf(out, "service %s: a first token in %v and %v a token of the prompt, answers of %v\n", s.GetService(),
+			s.GetStart().AsDuration().Round(time.Millisecond), s.GetRead().AsDuration().Round(100*time.Nanosecond),
+			s.GetAnswer().AsDuration().Round(time.Millisecond))
+	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "TARGET\tSERVICE\tADDRESS\tDATA CENTRE\tSTATE\tWEIGHTS")
 	targets := known.GetTargets()
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -45,6 +45,8 @@
 	speeds map[string]*mtspeed.Speed
 	// delays are those of fetches from the stores of cached parts, by address.
 	delays map[string]*delay
+	// without is what is left out to be measured.
+	without without
 }
 
 // naming are a model's newest weights, and when this process heard of each of
@@ -178,6 +180,9 @@
 // cached takes in changes of an engine's cache. Those that do not follow on what
 // is known are left for the next state, which begins where the hello says.
 func (b *Board) cached(r *record, state *fleetv1.State) {
+	if b.without.events {
+		return
+	}
 	if state.GetReset_() || state.GetEpoch() != r.epoch {
 		b.holders.Forget(state.GetTarget())
 		r.epoch, r.upto = state.GetEpoch(), 0
@@ -201,6 +206,9 @@
 
 // Notice takes in what another entry has given an engine to read.
 func (b *Board) Notice(notice *fleetv1.Notice) {
+	if b.without.notices {
+		return
+	}
 	if store := notice.GetStore(); store != "" {
 		b.holders.Keep(notice.GetSalt(), store, notice.GetParts())
 	}
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -158,10 +158,13 @@
 	c.read()
 	c.first = time.Now()
 	took := c.first.Sub(c.since)
-	c.record.pace.learn(c.estimate, took)
-	if c.stored {
+	if !c.board.without.pace {
+		c.record.pace.learn(c.estimate, took)
+	}
+	switch {
+	case c.stored:
 		c.fetchedIn(took)
-	} else {
+	case !c.board.without.speeds:
 		c.speed.Learn(c.work, took)
 	}
 	c.note(answer)
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -22,6 +22,7 @@
 			continue
 		}
 		w.weigh(&c)
+		b.without.leave(&c.bill)
 		c.cost = c.bill.sum()
 		switch {
 		case best.record == nil:
@@ -58,6 +59,9 @@
 
 func (b *Board) weighing(q *Query) *weighing {
 	w := &weighing{board: b, query: q}
+	if b.without.store {
+		q.cache = ""
+	}
 	if q.model() == "" {
 		return w
 	}
--- a/internal/placement/mtboard/speed.go
+++ b/internal/placement/mtboard/speed.go
@@ -55,5 +55,5 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.speed(told.GetService(), 0).Adopt(told)
+	return !b.without.speeds && b.speed(told.GetService(), 0).Adopt(told)
 }
--- /dev/null
+++ b/internal/placement/mtboard/without.go
@@ -0,0 +1,66 @@
+package mtboard
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// without are mechanisms that are left out, to measure what each is worth. Nobody
+// who operates a fleet gains by it: each is worth something or guards something.
+type without struct {
+	items [items]bool
+	// store is that no store of cached parts is used, events that caches are not
+	// followed, notices that other entries' words on what is read are not heard,
+	// pace that targets are taken to be alike, and speeds that nothing is learned.
+	store, events, notices, pace, speeds bool
+}
+
+// parts are the mechanisms that are items of a bill.
+var parts = map[string]item{
+	"runs":     itemRuns,
+	"distance": itemApart,
+	"home":     itemStray,
+	"waste":    itemWaste,
+	"copies":   itemCopy,
+	"older":    itemOlder,
+	"lanes":    itemLane,
+	"room":     itemFull,
+	"faults":   itemFaults,
+}
+
+// Without leaves mechanisms out of all later choices; it is for development only. An
+// error names those that can be left out.
+func (b *Board) Without(names ...string) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	flags := map[string]*bool{
+		"store": &b.without.store, "events": &b.without.events, "notices": &b.without.notices,
+		"pace": &b.without.pace, "speeds": &b.without.speeds,
+	}
+	for _, name := range names {
+		if flag := flags[name]; flag != nil {
+			*flag = true
+			continue
+		}
+		i, ok := parts[name]
+		if !ok {
+			known := slices.Sorted(maps.Keys(parts))
+			known = append(known, slices.Sorted(maps.Keys(flags))...)
+			return trace.BadParameter("no mechanism is called %q; there are %s", name, strings.Join(known, ", "))
+		}
+		b.without.items[i] = true
+	}
+	return nil
+}
+
+// leave takes the items off a bill that are left out.
+func (w *without) leave(b *bill) {
+	for i, out := range w.items {
+		if out {
+			b[i] = 0
+		}
+	}
+}
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
@@ -62,6 +63,8 @@
 	away atomic.Int32
 
 	histograms sync.Map
+	// without is what is left out to be measured.
+	without struct{ shedding, repeats bool }
 
 	mu         sync.Mutex
 	allowances map[string]*mtallowance.Allowance
@@ -95,6 +98,23 @@
 	return f
 }
 
+// Without leaves mechanisms out, to measure what they are worth; it is for
+// development only. It is called before Run.
+func (f *Front) Without(names ...string) error {
+	var rest []string
+	for _, name := range names {
+		switch name {
+		case "shedding":
+			f.without.shedding = true
+		case "repeats":
+			f.without.repeats = true
+		default:
+			rest = append(rest, name)
+		}
+	}
+	return trace.Wrap(f.board.Without(rest...), "besides shedding and repeats")
+}
+
 // Run follows the store and speaks with the sidecars until ctx ends.
 func (f *Front) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -198,7 +198,7 @@
 // Know answers another entry.
 func (f *Front) Know(context.Context, *connect.Request[fleetv1.KnowRequest]) (*connect.Response[fleetv1.Knowledge], error) {
 	view := f.roster.View()
-	known := &fleetv1.Knowledge{Revision: view.Complete(), Named: f.board.Named()}
+	known := &fleetv1.Knowledge{Revision: view.Complete(), Named: f.board.Named(), Speeds: f.board.Speeds()}
 	if catalog := f.catalog.Load(); catalog != nil {
 		known.Catalog = catalog.Source()
 	}
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -209,7 +209,7 @@
 // judge decides whether the request is sent away for now. What has run in part is
 // not, nor anything while the engines' speed is a guess: an idle one would refuse.
 func (r *request) judge(choice *mtboard.Choice) mtshed.Verdict {
-	if r.delivered != nil || r.tries > 0 || !choice.Known() {
+	if r.delivered != nil || r.tries > 0 || !choice.Known() || r.front.without.shedding {
 		return mtshed.Verdict{}
 	}
 	return mtshed.Decide(r.rank(), choice.Estimate(), choice.Wait(), r.route.GetAim().AsDuration(), time.Until(r.until), r.route.GetTimeout().AsDuration())
@@ -217,7 +217,7 @@
 
 // mayTry says whether another target may get the request.
 func (r *request) mayTry(last result) bool {
-	if r.unreached > maxUnreached || r.tries >= int(r.route.GetAttempts()) {
+	if r.unreached > maxUnreached || r.tries >= int(r.route.GetAttempts()) || r.front.without.repeats && r.tries > 0 {
 		return false
 	}
 	switch last.(type) {
--- a/internal/relay/mtfront/speed.go
+++ b/internal/relay/mtfront/speed.go
@@ -26,6 +26,9 @@
 func (f *Front) tellSpeeds(last map[string]*fleetv1.Speed) {
 	for _, speed := range f.board.Speeds() {
 		before := last[speed.GetService()]
+		if before == nil {
+			f.speedGauges(speed.GetService())
+		}
 		if before != nil && !changed(before, speed) {
 			continue
 		}
@@ -34,6 +37,21 @@
 	}
 }
 
+// speedGauges serves what is learned of a service's engines among the metrics.
+func (f *Front) speedGauges(service string) {
+	label := `{service="` + service + `"}`
+	gauge := func(name string, of func(*fleetv1.Speed) time.Duration) {
+		f.trail.Metrics().Gauge(name+label, func() int64 {
+			speed, _ := f.board.Speed(service)
+			return of(speed).Nanoseconds()
+		})
+	}
+	gauge("engine_start_ns", func(s *fleetv1.Speed) time.Duration { return s.GetStart().AsDuration() })
+	gauge("engine_token_read_ns", func(s *fleetv1.Speed) time.Duration { return s.GetRead().AsDuration() })
+	gauge("engine_token_fetch_ns", func(s *fleetv1.Speed) time.Duration { return s.GetFetch().AsDuration() })
+	gauge("engine_answer_ns", func(s *fleetv1.Speed) time.Duration { return s.GetAnswer().AsDuration() })
+}
+
 // changed says that two speeds of a service differ by more than is usual.
 func changed(a, b *fleetv1.Speed) bool {
 	return differ(a.GetStart().AsDuration(), b.GetStart().AsDuration()) ||
--- a/internal/role/mtfleet/entry.go
+++ b/internal/role/mtfleet/entry.go
@@ -13,8 +13,9 @@
 	"github.com/mustardtide/mustardtide/platform/mtspeech"
 )
 
-// RunEntry runs an entry until SIGTERM.
-func RunEntry() error {
+// RunEntry runs an entry until SIGTERM, for development without some of its
+// mechanisms.
+func RunEntry(without []string) error {
 	d, err := open()
 	if err != nil {
 		return trace.Wrap(err)
@@ -24,6 +25,9 @@
 		return trace.Wrap(err)
 	}
 	front := mtfront.New(d.site, d.network, socket, d.trail)
+	if err := front.Without(without...); err != nil {
+		return trace.Wrap(err)
+	}
 	public, err := d.listen(d.site.GetPublic(), front)
 	if err != nil {
 		return trace.Wrap(err)
