--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -26,9 +26,11 @@
 	fetched int64
 	kept    int64
 	// stored says that the parts are fetched from the store, slack its delay when
-	// the target was chosen, and save that it should have them once they are read.
+	// the target was chosen, pays that they are worth its link, and save that it
+	// should have them once they are read.
 	stored bool
 	slack  time.Duration
+	pays   bool
 	save   bool
 	reads  int64
 	// work is what the estimate was made of, by the speed of the service's engines.
@@ -133,9 +135,8 @@
 	c.since = time.Now()
 	c.record.running++
 	c.record.pending += c.reads
-	c.slack = c.board.delay(c.query.cache).now()
 	tokens := c.query.sharedTokens()
-	c.save = c.salt != "" && c.matched+c.fetched < tokens && c.kept < tokens && c.board.pays(c)
+	c.save = c.salt != "" && c.matched+c.fetched < tokens && c.kept < tokens && c.pays
 	if c.salt != "" {
 		c.board.holders.Read(c.salt, c.id, c.query.shared())
 	}
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -1,9 +1,12 @@
 package mtboard
 
 import (
+	"time"
+
 	"github.com/zeebo/xxh3"
 
 	"github.com/mustardtide/mustardtide/internal/placement/mtholder"
+	"github.com/mustardtide/mustardtide/internal/placement/mtspeed"
 )
 
 // Choose returns the target of the least cost, or nil where no target can take
@@ -16,7 +19,7 @@
 	var out unfit
 	lost := make([]loser, 0, told)
 	for _, r := range b.services[q.service.GetName()] {
-		c := b.candidate(r, q)
+		c := w.candidate(r)
 		if l := w.lack(&c); l != lackNone {
 			out[l]++
 			continue
@@ -43,28 +46,40 @@
 	return &best
 }
 
-func (b *Board) candidate(r *record, q *Query) Choice {
-	return Choice{board: b, record: r, query: q, speed: b.speed(q.service.GetName(), q.service.GetTransfer().AsDuration()), id: r.target.GetId(), address: r.target.GetAddress()}
+func (w *weighing) candidate(r *record) Choice {
+	return Choice{
+		board: w.board, record: r, query: w.query, speed: w.speed, slack: w.slack, pays: w.pays,
+		id: r.target.GetId(), address: r.target.GetAddress(),
+	}
 }
 
 // weighing is what all candidates of one choice share.
 type weighing struct {
-	board   *Board
-	query   *Query
-	home    string
-	newest  bool
+	board  *Board
+	query  *Query
+	home   string
+	newest bool
+	// speed is that of the service's engines, slack the delay of the store of cached
+	// parts, and pays that the prompt's shared parts are worth its link.
+	speed   *mtspeed.Speed
+	slack   time.Duration
+	pays    bool
 	salts   map[int64]string
 	matches map[int64]map[string]mtholder.Match
 }
 
 func (b *Board) weighing(q *Query) *weighing {
-	w := &weighing{board: b, query: q}
+	w := &weighing{board: b, query: q, speed: b.speed(q.service.GetName(), q.service.GetTransfer().AsDuration())}
 	if b.without.store {
 		q.cache = ""
 	}
 	if q.model() == "" {
 		return w
 	}
+	if q.cache != "" {
+		w.slack = b.delay(q.cache).now()
+		w.pays = q.sharedTokens() >= saveLeast && w.slack < share(storeAims, q.aim)
+	}
 	w.home = b.home(q)
 	w.newest = b.anyNewest(q)
 	w.salts = map[int64]string{}
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -71,7 +71,7 @@
 	}
 	if fetched > 0 && source == q.cache {
 		c.stored = true
-		c.bill[itemFetch] += b.delay(q.cache).now()
+		c.bill[itemFetch] += c.slack
 	}
 	c.expected = c.bill.sum()
 	c.wait = c.bill[itemQueue]
@@ -131,7 +131,7 @@
 			best, address, local = match, from, near
 		}
 	}
-	if address == "" && b.pays(c) {
+	if address == "" && c.pays {
 		// The store may hold parts that this process has not heard of; a miss costs a
 		// millisecond.
 		return c.query.cache, 0
@@ -147,12 +147,6 @@
 // prompts.
 const storeAims = 0.5
 
-// pays says that the prompt's shared parts are worth the store's link.
-func (b *Board) pays(c *Choice) bool {
-	return c.query.cache != "" && c.query.sharedTokens() >= saveLeast &&
-		b.delay(c.query.cache).now() < share(storeAims, c.query.aim)
-}
-
 // holder returns the address of a holder that can be fetched from, "" where it
 // can't, and whether it is in the target's data centre.
 func (b *Board) holder(c *Choice, id string) (string, bool) {
--- a/internal/placement/mtboard/why.go
+++ b/internal/placement/mtboard/why.go
@@ -79,7 +79,7 @@
 	records := b.services[q.service.GetName()]
 	w := b.weighing(q)
 	for _, r := range records {
-		c := b.candidate(r, q)
+		c := w.candidate(r)
 		all[w.lack(&c)]++
 	}
 	return fmt.Sprintf("%d known: %s", len(records), all.String())
--- a/internal/placement/mtboard/without.go
+++ b/internal/placement/mtboard/without.go
@@ -11,6 +11,8 @@
 // without are mechanisms that are left out, to measure what each is worth. Nobody
 // who operates a fleet gains by it: each is worth something or guards something.
 type without struct {
+	// some says that there are any.
+	some  bool
 	items [items]bool
 	// store is that no store of cached parts is used, events that caches are not
 	// followed, notices that other entries' words on what is read are not heard,
@@ -51,13 +53,16 @@
 			known = append(known, slices.Sorted(maps.Keys(flags))...)
 			return trace.BadParameter("no mechanism is called %q; there are %s", name, strings.Join(known, ", "))
 		}
-		b.without.items[i] = true
+		b.without.items[i], b.without.some = true, true
 	}
 	return nil
 }
 
 // leave takes the items off a bill that are left out.
 func (w *without) leave(b *bill) {
+	if !w.some {
+		return
+	}
 	for i, out := range w.items {
 		if out {
 			b[i] = 0
