Write variants within their folder

Cause: the linter found that a path of a variant is put together from a flag. Ruled out: leaving the finding out by a comment. Change: the file is written through a root opened on the folder; the same files are written.

--- a/cmd/mustardtide-variants/main.go
+++ b/cmd/mustardtide-variants/main.go
@@ -51,5 +51,10 @@
 		return trace.Wrap(err)
 	}
 	fmt.Printf("%s: %s\n", name, strings.Join(variant.Drawn(), ", "))
-	return trace.ConvertSystemError(os.WriteFile(filepath.Join(into, name+".toml"), text, 0o600))
+	folder, err := os.OpenRoot(into)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer func() { _ = folder.Close() }()
+	return trace.ConvertSystemError(folder.WriteFile(name+".toml", text, 0o600))
 }
