Let an engine that is down hold nobody up in the queue of loads

Cause, found by TestRolloutsOfAnyFleet with more draws: an engine that is down stood first in the queue, and the turn of all behind it was told anew as "one interval from now" for as long; what put an engine off ended at a fixed time after its first turn, for all of them in the same moment. Seen: 10 of 23 and 7 of 12 engines loading at once.

Change: engines that do not answer take no place before others; turns are put off until 0.6 of the time allowed has passed since the naming, and then spread by place.

--- a/internal/placement/mtboard/turns.go
+++ b/internal/placement/mtboard/turns.go
@@ -27,11 +27,13 @@
 		if r.replaced || r.target.GetLeaving() {
 			continue
 		}
-		behind := r.weights(service.GetModel()) < newest
 		if !r.fresh() {
-			turns.Put(r.target.GetId(), behind, false, nil, 0)
+			turns.Put(r.target.GetId(), false, false, nil, 0)
 			continue
 		}
+		// An engine that is down takes no turn: as the first of the queue it would
+		// hold all others up.
+		behind := r.state.GetAnswers() && r.weights(service.GetModel()) < newest
 		last := r.state.GetLoad()
 		if last == nil {
 			last = &fleetv1.Load{}
--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -33,9 +33,12 @@
 	// fullTime is how long an entry's word counts that enough engines load: two of
 	// its greetings and a little, so that one that is lost changes nothing.
 	fullTime = 600 * time.Millisecond
-	// patience is the part of the time allowed for older weights by which a turn may
-	// come later than was first foreseen, while enough others load.
-	patience = 0.25
+	// patience is the part of the time allowed for older weights until which a turn
+	// that has come is put off while enough others load: the rest is for the loads of
+	// those that then go all the same.
+	patience = 0.6
+	// spreadShare is the part over which those that are put off no longer are spread.
+	spreadShare = 0.15
 	// unbounded stands for the time allowed where the settings name none.
 	unbounded = time.Minute
 )
@@ -85,7 +88,7 @@
 	}
 	for model, d := range p.named {
 		if p.waits[model] {
-			d.at = earlier(p.due(), d.last)
+			d.at = earlier(p.due(), d.last.Add(p.spread()))
 			p.named[model] = d
 		}
 	}
@@ -104,6 +107,13 @@
 	return time.Now().Add(p.lead() + min(max(0, wait), p.longest()))
 }
 
+// spread is the turn's place among those that are put off no longer: without it all
+// of them would load at once.
+func (p *Plan) spread() time.Duration {
+	wait := time.Duration(p.turn.GetPlace()) * p.turn.GetInterval().AsDuration()
+	return min(max(0, wait), time.Duration(spreadShare*float64(p.allowed)))
+}
+
 // longest bounds what a turn may be put off: half of the time allowed.
 func (p *Plan) longest() time.Duration { return p.allowed / 2 }
 
@@ -120,8 +130,7 @@
 	if old.weights.GetVersion() >= weights.GetVersion() {
 		return false
 	}
-	at := p.due()
-	d := due{weights: weights, at: at, last: at.Add(p.patience())}
+	d := due{weights: weights, at: p.due(), last: time.Now().Add(p.patience())}
 	if p.waits[weights.GetModel()] && old.weights != nil && !p.load.busy {
 		// Weights that follow each other quickly must not put an engine off for
 		// ever: one that still waits for older ones keeps its turn, and skips them.
@@ -176,7 +185,7 @@
 	return now.Sub(p.full) > fullTime || now.After(d.last)
 }
 
-// patience is how long a turn may be put off after it was first foreseen.
+// patience is how long after the naming of weights a turn may be put off.
 func (p *Plan) patience() time.Duration { return time.Duration(patience * float64(p.allowed)) }
 
 // Until is how long nothing changes by itself; 0 where something is due now, and
--- a/internal/relay/mtturns/turns.go
+++ b/internal/relay/mtturns/turns.go
@@ -113,9 +113,9 @@
 	}
 }
 
-// Put adds an engine. behind says that newer weights than its own are named, away
-// that it takes no requests for the sake of its load; last is nil where nothing
-// was heard of it of late.
+// Put adds an engine. behind says that it answers and that newer weights than its own
+// are named, away that it takes no requests for the sake of its load; last is nil
+// where nothing was heard of it of late.
 func (t *Turns) Put(id string, behind, away bool, last *fleetv1.Load, age time.Duration) {
 	e := engine{id: id, behind: behind && !away, begun: never}
 	if away {
