Remove the lanes for long and short prompts

They rested on figures of two fleets (2,048 tokens, a third of the engines), and guard no rule.

Change: no engine belongs to long or short prompts; engines read prompts piece by piece between the others' tokens, and the pending tokens of all entries keep short prompts off engines that read long ones (TestOthersPendingCounts).

--- a/internal/placement/mtboard/bill.go
+++ b/internal/placement/mtboard/bill.go
@@ -20,7 +20,6 @@
 	itemWaste
 	itemCopy
 	itemOlder
-	itemLane
 	itemFull
 	itemFaults
 	itemReplaced
@@ -39,7 +38,6 @@
 	itemWaste:    "read again though held elsewhere",
 	itemCopy:     "more to copy",
 	itemOlder:    "older weights",
-	itemLane:     "lane of the other length",
 	itemFull:     "no room",
 	itemFaults:   "failed of late",
 	itemReplaced: "address given to another",
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -100,8 +100,6 @@
 
 	faults faults
 	pace   pace
-	// short says that the engine is of the lane for short prompts.
-	short bool
 	// misplaced says that another program answers at the address.
 	misplaced bool
 	// replaced says that another program was listed later at the address; a
@@ -156,7 +154,7 @@
 	for _, r := range b.records {
 		r.replaced = replaced(r.target)
 	}
-	b.divide()
+	b.sort()
 }
 
 // Hear takes in a sidecar's word.
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -128,7 +128,7 @@
 	part := parts[len(parts)-1].GetId()
 	best, home := uint64(0), ""
 	for _, r := range b.services[q.service.GetName()] {
-		if r.target.GetDatacentre() != b.datacentre || !r.usable() || r.astray(q) {
+		if r.target.GetDatacentre() != b.datacentre || !r.usable() {
 			continue
 		}
 		if score := xxh3.HashStringSeed(part, r.hash); home == "" || score > best {
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -87,9 +87,6 @@
 	if b.older(q.model(), c.version) {
 		c.bill[itemOlder] = share(olderShare, q.aim)
 	}
-	if r.astray(q) {
-		c.bill[itemLane] = speed.Tokens(laneTokens)
-	}
 	if r.full(q) {
 		c.bill[itemFull] = share(fullAims, q.aim)
 	}
--- a/internal/placement/mtboard/without.go
+++ b/internal/placement/mtboard/without.go
@@ -28,7 +28,6 @@
 	"waste":    itemWaste,
 	"copies":   itemCopy,
 	"older":    itemOlder,
-	"lanes":    itemLane,
 	"room":     itemFull,
 	"faults":   itemFaults,
 }
