Bound how long the queue of loads waits for answers, and what holders take

Cause, read in the diff: where answers last longer than three quarters of the time allowed, the queue left no time for loads and told all engines to load at once; 64 holders for each of 16,384 parts could take 58 MB of a small instance.

Ruled out: longer times for the queue (the time allowed is the deployment's).

Change: an engine waits for its runs for a sixth of the time allowed and 2 s at most; holders are bounded in all, 4 MB, the parts used last stay.

--- a/internal/placement/mtholder/holder.go
+++ b/internal/placement/mtholder/holder.go
@@ -22,6 +22,9 @@
 	// are in nearly every prompt, most engines of a fleet of today hold a copy, and one
 	// that is not known to would be passed over.
 	holders = 64
+	// heldMost bounds what is remembered in all, 4 MB: many parts with many holders
+	// each would take a small instance's memory.
+	heldMost = 4 * kept
 	// believed is how long a part counts as held after its last use where the
 	// target has not told of it: engines drop what was not used for some seconds
 	// when their memory fills.
@@ -42,6 +45,8 @@
 	mu    sync.Mutex
 	parts map[key]*list.Element
 	order *list.List
+	// held counts the holders of all parts.
+	held int
 }
 
 type key struct {
@@ -110,23 +115,33 @@
 		if change.GetTokens() > 0 {
 			m.note(k, held{target: target, since: now, tokens: change.GetTokens()})
 		} else if element := m.parts[k]; element != nil {
-			element.Value.(*record).drop(target)
+			m.drop(element, target)
 		}
 	}
 }
 
-// drop forgets one target.
-func (r *record) drop(target string) {
+// drop forgets one target of a part.
+func (m *Memory) drop(element *list.Element, target string) {
+	r := element.Value.(*record)
+	before := len(r.held)
 	r.held = slices.DeleteFunc(r.held, func(h held) bool { return h.target == target })
+	m.held -= before - len(r.held)
+}
+
+// evict forgets the part that was not used for the longest time.
+func (m *Memory) evict() {
+	oldest := m.order.Back()
+	r := oldest.Value.(*record)
+	m.held -= len(r.held)
+	delete(m.parts, r.key)
+	m.order.Remove(oldest)
 }
 
 func (m *Memory) note(k key, h held) {
 	element := m.parts[k]
 	if element == nil {
 		if m.order.Len() >= kept {
-			oldest := m.order.Back()
-			delete(m.parts, oldest.Value.(*record).key)
-			m.order.Remove(oldest)
+			m.evict()
 		}
 		element = m.order.PushFront(&record{key: k})
 		m.parts[k] = element
@@ -143,6 +158,10 @@
 	}
 	if len(r.held) < holders {
 		r.held = append(r.held, h)
+		m.held++
+		for m.held > heldMost {
+			m.evict()
+		}
 		return
 	}
 	oldest := 0
@@ -216,7 +235,7 @@
 	defer m.mu.Unlock()
 	for _, part := range parts {
 		if element := m.parts[key{salt, part.GetId()}]; element != nil {
-			element.Value.(*record).drop(target)
+			m.drop(element, target)
 		}
 	}
 }
@@ -226,6 +245,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for element := m.order.Front(); element != nil; element = element.Next() {
-		element.Value.(*record).drop(target)
+		m.drop(element, target)
 	}
 }
--- a/internal/placement/mtholder/holder_test.go
+++ b/internal/placement/mtholder/holder_test.go
@@ -74,3 +74,26 @@
 		g.Expect(matches).NotTo(HaveKey("e0"))
 	})
 }
+
+// Every engine of a large fleet holds thousands of parts: what is remembered stays
+// within a small instance's memory, and the parts used last stay.
+func TestMemoryIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	m := mtholder.New()
+	part := func(i int) []*fleetv1.Part { return []*fleetv1.Part{{Id: fmt.Sprint("p", i), Tokens: 100}} }
+	for i := range 2000 {
+		for engine := range 64 {
+			m.Note("s", fmt.Sprint("e", engine), part(i))
+		}
+	}
+	kept := 0
+	for i := range 2000 {
+		kept += len(m.Matches("s", part(i)))
+	}
+	g.Expect(kept).To(BeNumerically("<=", 4*16384))
+	g.Expect(m.Matches("s", part(1999))).To(HaveLen(64))
+	for engine := range 64 {
+		m.Forget(fmt.Sprint("e", engine))
+	}
+	g.Expect(m.Matches("s", part(1999))).To(BeEmpty())
+}
--- a/internal/relay/mtturns/turns.go
+++ b/internal/relay/mtturns/turns.go
@@ -46,6 +46,11 @@
 	// begin a little late, and the first and the last of a rollout have fewer beside
 	// them.
 	gap = 0.25
+	// longestLead and leadShare, a part of the time allowed, bound how long engines
+	// wait for their runs: where answers last for many seconds, a queue that waits for
+	// them leaves no time for the loads, and all engines would have to load at once.
+	longestLead = 2 * time.Second
+	leadShare   = 1.0 / 6
 	// liveShare is the part of the engines that must be heard of for the queue to
 	// be seen to move.
 	liveShare = 0.75
@@ -69,14 +74,17 @@
 	knee int
 
 	engines []engine
-	loads   []load
-	leasts  []time.Duration
-	places  map[string]int
-	heard   int
-	away    int
-	last    time.Duration
-	atOnce  int
-	took    time.Duration
+	// loads are the last ones of the engines, leasts the shortest of each.
+	loads  []load
+	leasts []time.Duration
+	places map[string]int
+	// heard and away count engines; last is how long ago one of them began.
+	heard int
+	away  int
+	last  time.Duration
+	// atOnce is how many load at once, took what a load takes.
+	atOnce int
+	took   time.Duration
 }
 
 // engine is one that has its turn before or after others.
@@ -106,7 +114,7 @@
 	return &Turns{
 		knee:    knee,
 		allowed: allowed,
-		lead:    lead,
+		lead:    min(lead, longestLead, time.Duration(leadShare*float64(allowed))),
 		overdue: allowed > 0 && named > time.Duration(allowedShare*float64(allowed)),
 		places:  map[string]int{},
 		last:    never,
@@ -115,7 +123,7 @@
 
 // Put adds an engine. behind says that it answers and that newer weights than its own
 // are named, away that it takes no requests for the sake of its load; last is nil
-// where nothing was heard of it of late.
+// where nothing was heard of it of late, and age is how long ago it was told.
 func (t *Turns) Put(id string, behind, away bool, last *fleetv1.Load, age time.Duration) {
 	e := engine{id: id, behind: behind && !away, begun: never}
 	if away {
@@ -136,7 +144,7 @@
 	t.engines = append(t.engines, e)
 }
 
-// Arrange works out places and pace; seed decides among engines that were not seen
+// Arrange works out places and pace; hash decides among engines that were not seen
 // to load, alike at all entries.
 func (t *Turns) Arrange(hash func(id string) uint64) {
 	slices.SortFunc(t.engines, func(a, b engine) int {
--- a/internal/relay/mtturns/turns_test.go
+++ b/internal/relay/mtturns/turns_test.go
@@ -140,6 +140,22 @@
 	}
 }
 
+// Answers last for half a minute: with engines that wait as long for their runs no
+// time would be left for the loads, and all 18 would be told to load at once.
+func TestLongAnswersLeaveTimeForLoads(t *testing.T) {
+	for _, allowed := range []time.Duration{3 * time.Second, 8 * time.Second, 12 * time.Second} {
+		g := NewWithT(t)
+		turns := mtturns.New(allowed, 0, 30*time.Second, 0)
+		for i := range 18 {
+			ended := time.Duration(60-i) * time.Second
+			turns.Put(id(i), true, false, loaded(ended+time.Second, ended, 300*time.Millisecond, 300*time.Millisecond), 0)
+		}
+		turns.Arrange(byName)
+		g.Expect(turns.AtOnce()).To(BeNumerically("<=", 6), allowed.String())
+		g.Expect(turns.Of(id(0)).GetLead().AsDuration()).To(BeNumerically("<=", allowed/6))
+	}
+}
+
 func ExampleTurns() {
 	turns := mtturns.New(8*time.Second, 0, 400*time.Millisecond, 0)
 	for i := range 18 {
