--- a/internal/placement/mtboard/without.go
+++ b/internal/placement/mtboard/without.go
@@ -20,8 +20,8 @@
 	store, events, notices, pace, speeds bool
 }
 
-// parts are the mechanisms that are items of a bill.
-var parts = map[string]item{
+// billed are the mechanisms that are items of a bill.
+var billed = map[string]item{
 	"runs":     itemRuns,
 	"distance": itemApart,
 	"home":     itemStray,
@@ -46,9 +46,9 @@
 			*flag = true
 			continue
 		}
-		i, ok := parts[name]
+		i, ok := billed[name]
 		if !ok {
-			known := slices.Sorted(maps.Keys(parts))
+			known := slices.Sorted(maps.Keys(billed))
 			known = append(known, slices.Sorted(maps.Keys(flags))...)
 			return trace.BadParameter("no mechanism is called %q; there are %s", name, strings.Join(known, ", "))
 		}
--- a/internal/placement/mtspeed/speed.go
+++ b/internal/placement/mtspeed/speed.go
@@ -17,23 +17,23 @@
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 )
 
-// Part is one of the times of which the time to a first token is made.
-type Part int
+// Term is one of the times of which the time to a first token is the sum.
+type Term int
 
 // Start is what a request needs besides its prompt; Read the reading of one token;
 // Begin what a fetch needs besides its tokens, and Fetch the transfer of one.
 const (
-	Start Part = iota
+	Start Term = iota
 	Read
 	Begin
 	Fetch
-	parts
+	terms
 )
 
 // first are the times until answers were seen: of engines that are neither fast
 // nor slow, 32 tokens read in a millisecond and 2 us to move one. They are off by
 // a factor of five in fleets of today, which thirty answers correct.
-var first = [parts]float64{
+var first = [terms]float64{
 	Start: float64(70 * time.Millisecond),
 	Read:  float64(time.Second / 32_000),
 	Begin: float64(4 * time.Millisecond),
@@ -42,7 +42,7 @@
 
 // bounds are the times that are believed: two to three powers of ten to each side,
 // far beyond the engines that are built today.
-var bounds = [parts][2]float64{
+var bounds = [terms][2]float64{
 	Start: {float64(time.Millisecond), float64(5 * time.Second)},
 	Read:  {float64(200 * time.Nanosecond), float64(5 * time.Millisecond)},
 	Begin: {float64(100 * time.Microsecond), float64(time.Second)},
@@ -73,7 +73,7 @@
 
 // Speed is one service's. It is not safe for concurrent use.
 type Speed struct {
-	times [parts]float64
+	times [terms]float64
 	count int64
 	// sum and squares are weighted means of the lengths of answers, from their
 	// first byte to their last, and of their squares, in seconds.
@@ -81,9 +81,9 @@
 	squares float64
 }
 
-// Work is what a request asks of a target, in units of the parts: one start, the
+// Work is what a request asks of a target, in units of the terms: one start, the
 // tokens to be read, and the tokens to be fetched.
-type Work [parts]float64
+type Work [terms]float64
 
 // NewWork describes a request: the tokens that are read before its first token,
 // others' included, and the tokens that are fetched.
@@ -105,8 +105,8 @@
 	return s
 }
 
-// Of is the time of one part.
-func (s *Speed) Of(part Part) time.Duration { return time.Duration(s.times[part]) }
+// Of is the time of one term.
+func (s *Speed) Of(term Term) time.Duration { return time.Duration(s.times[term]) }
 
 // Known says that enough answers were seen to rely on the times.
 func (s *Speed) Known() bool { return s.count >= known }
@@ -117,15 +117,15 @@
 // Estimate is the time to the first token.
 func (s *Speed) Estimate(w Work) time.Duration {
 	var sum float64
-	for part, units := range w {
-		sum += units * s.times[part]
+	for term, units := range w {
+		sum += units * s.times[term]
 	}
 	return time.Duration(sum)
 }
 
-// Learn takes in the time that a request took to its first token. Each part is
+// Learn takes in the time that a request took to its first token. Each term is
 // corrected by its share of the estimate, in the ratio of what was seen to it: what
-// most requests share is learned from all, and a part that a request hardly uses is
+// most requests share is learned from all, and a term that a request hardly uses is
 // left alone. Half of the answers are then above the estimate, half below.
 func (s *Speed) Learn(w Work, took time.Duration) {
 	estimate := float64(s.Estimate(w))
@@ -134,10 +134,10 @@
 	}
 	off := math.Log(float64(took) / estimate)
 	off = min(clip, max(-clip, off)) * s.step()
-	for part, units := range w {
-		share := units * s.times[part] / estimate
+	for term, units := range w {
+		share := units * s.times[term] / estimate
 		if share > 0 {
-			s.times[part] = within(Part(part), s.times[part]*(1+off*share))
+			s.times[term] = within(Term(term), s.times[term]*(1+off*share))
 		}
 	}
 	s.count++
@@ -147,8 +147,8 @@
 	return max(lastStep, firstStep*settling/(settling+float64(s.count)))
 }
 
-func within(part Part, value float64) float64 {
-	return min(bounds[part][1], max(bounds[part][0], value))
+func within(term Term, value float64) float64 {
+	return min(bounds[term][1], max(bounds[term][0], value))
 }
 
 // Answered takes in how long an answer lasted from its first byte on.
@@ -201,14 +201,14 @@
 	if s.Known() || told == nil {
 		return false
 	}
-	times := [parts]float64{
+	times := [terms]float64{
 		Start: float64(told.GetStart().AsDuration()),
 		Read:  float64(told.GetRead().AsDuration()),
 		Begin: float64(told.GetBegin().AsDuration()),
 		Fetch: float64(told.GetFetch().AsDuration()),
 	}
-	for part, value := range times {
-		if within(Part(part), value) != value {
+	for term, value := range times {
+		if within(Term(term), value) != value {
 			return false
 		}
 	}
--- a/internal/placement/mtspeed/speed_test.go
+++ b/internal/placement/mtspeed/speed_test.go
@@ -147,9 +147,9 @@
 			s.Learn(mtspeed.NewWork(read, fetched), time.Duration(rapid.Int64().Draw(t, "took")))
 			s.Answered(time.Duration(rapid.Int64().Draw(t, "lasted")))
 		}
-		for part := mtspeed.Start; part <= mtspeed.Fetch; part++ {
-			if s.Of(part) <= 0 {
-				t.Fatalf("part %d takes %v", part, s.Of(part))
+		for term := mtspeed.Start; term <= mtspeed.Fetch; term++ {
+			if s.Of(term) <= 0 {
+				t.Fatalf("term %d takes %v", term, s.Of(term))
 			}
 		}
 		if s.Answer() < 0 || s.Running() < 0 {
