Do once what the change did twice

Ruled out: one form for the three ways in which times to come back are spread, and dropping the mean length of answers under way, which only logs and processes are told: both would change what is sent.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -27,9 +27,8 @@
 // Board is safe for concurrent use.
 type Board struct {
 	datacentre string
-	// oldest is how long after newer weights were named a run may still be
-	// sent to older ones.
-	oldest  time.Duration
+	// allowed is how long after newer weights were named a run may begin on older
+	// ones.
 	allowed time.Duration
 	holders *mtholder.Memory
 
@@ -76,6 +75,14 @@
 	return 0
 }
 
+// age is how long ago the last weights were named; 0 if none were.
+func (n naming) age() time.Duration {
+	if len(n.heard) == 0 {
+		return 0
+	}
+	return time.Since(n.heard[len(n.heard)-1].since)
+}
+
 // record is what the entry knows of one target.
 type record struct {
 	target *fleetv1.Target
@@ -118,7 +125,6 @@
 func New(datacentre string, allowed time.Duration) *Board {
 	return &Board{
 		datacentre: datacentre,
-		oldest:     time.Duration(float64(allowed) * oldShare),
 		allowed:    allowed,
 		holders:    mtholder.New(),
 		records:    map[string]*record{},
@@ -238,7 +244,7 @@
 	defer b.mu.Unlock()
 	var newest time.Duration
 	for _, n := range b.named {
-		age := time.Since(n.heard[len(n.heard)-1].since)
+		age := n.age()
 		if newest == 0 || age < newest {
 			newest = age
 		}
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -69,7 +69,7 @@
 }
 
 func (b *Board) weighing(q *Query) *weighing {
-	w := &weighing{board: b, query: q, speed: b.speed(q.service.GetName(), q.service.GetTransfer().AsDuration())}
+	w := &weighing{board: b, query: q, speed: b.speed(q.service)}
 	if b.without.store {
 		q.cache = ""
 	}
@@ -121,17 +121,16 @@
 // home is the target of the request's data centre to which its deepest shared
 // part hashes, so that all entries agree on it.
 func (b *Board) home(q *Query) string {
-	parts := q.shared()
-	if len(parts) == 0 {
+	part := deepest(q.ask)
+	if part == nil {
 		return ""
 	}
-	part := parts[len(parts)-1].GetId()
 	best, home := uint64(0), ""
 	for _, r := range b.services[q.service.GetName()] {
 		if r.target.GetDatacentre() != b.datacentre || !r.usable() {
 			continue
 		}
-		if score := xxh3.HashStringSeed(part, r.hash); home == "" || score > best {
+		if score := xxh3.HashStringSeed(part.GetId(), r.hash); home == "" || score > best {
 			best, home = score, r.target.GetId()
 		}
 	}
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -191,7 +191,7 @@
 // outdated says that the target's weights are too old for a run to begin on:
 // others have the newest, and the time allowed for older ones is nearly over.
 func (b *Board) outdated(model string, version int64, newest bool) bool {
-	return newest && b.named[model].behind(version) > b.oldest
+	return newest && b.named[model].behind(version) > share(oldShare, b.allowed)
 }
 
 // older says that newer weights have been named for a while.
--- a/internal/placement/mtboard/delay.go
+++ b/internal/placement/mtboard/delay.go
@@ -1,9 +1,6 @@
 package mtboard
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// delayHalf is the time in which a delay counts half: the store's link is free
@@ -32,7 +29,7 @@
 	if d.mean == 0 {
 		return 0
 	}
-	return share(math.Exp2(-time.Since(d.at).Seconds()/delayHalf.Seconds()), d.mean)
+	return share(fade(d.at, delayHalf), d.mean)
 }
 
 // learn takes in by how much one fetch took longer than its transfer.
--- a/internal/placement/mtboard/faults.go
+++ b/internal/placement/mtboard/faults.go
@@ -35,7 +35,13 @@
 	if f.share == 0 {
 		return 0
 	}
-	return f.share * math.Exp2(-time.Since(f.at).Seconds()/faultHalf.Seconds())
+	return f.share * fade(f.at, faultHalf)
+}
+
+// fade is the part that counts of what was seen at a time and counts half after
+// each half.
+func fade(at time.Time, half time.Duration) float64 {
+	return math.Exp2(-time.Since(at).Seconds() / half.Seconds())
 }
 
 func (f *faults) good() {
--- a/internal/placement/mtboard/query.go
+++ b/internal/placement/mtboard/query.go
@@ -23,11 +23,14 @@
 
 // Home is the part by which a request belongs to a target and a store: its deepest
 // shared one, "" where it has none.
-func Home(ask *fleetv1.Ask) string {
+func Home(ask *fleetv1.Ask) string { return deepest(ask).GetId() }
+
+// deepest is the last of a prompt's shared parts; nil where it has none.
+func deepest(ask *fleetv1.Ask) *fleetv1.Part {
 	if parts := ask.GetParts(); len(parts) > 1 {
-		return parts[len(parts)-2].GetId()
+		return parts[len(parts)-2]
 	}
-	return ""
+	return nil
 }
 
 // NewQuery describes a request of an account for a service; account may be nil.
--- a/internal/placement/mtboard/speed.go
+++ b/internal/placement/mtboard/speed.go
@@ -1,19 +1,16 @@
 package mtboard
 
 import (
-	"time"
-
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/placement/mtspeed"
 )
 
-// speed is that of a service's engines, of which the operators say what a transfer
-// needs; the board is locked.
-func (b *Board) speed(service string, transfer time.Duration) *mtspeed.Speed {
-	s := b.speeds[service]
+// speed is that of a service's engines; the board is locked.
+func (b *Board) speed(service *fleetv1.Service) *mtspeed.Speed {
+	s := b.speeds[service.GetName()]
 	if s == nil {
-		s = mtspeed.New(transfer)
-		b.speeds[service] = s
+		s = mtspeed.New(service.GetTransfer().AsDuration())
+		b.speeds[service.GetName()] = s
 	}
 	return s
 }
@@ -24,26 +21,33 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []*fleetv1.Speed
-	for service, s := range b.speeds {
-		if told := s.Tell(); told != nil {
-			told.Service = service
+	for service := range b.speeds {
+		if told := b.learned(service); told != nil {
 			list = append(list, told)
 		}
 	}
 	return list
 }
 
-// Speed is what was learned of one service's engines, and whether that is enough
-// to be relied on.
-func (b *Board) Speed(service string) (*fleetv1.Speed, bool) {
+// Speed is what was learned of one service's engines; nil until that is enough to
+// be relied on.
+func (b *Board) Speed(service string) *fleetv1.Speed {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	told := b.speed(service, 0).Tell()
-	if told == nil {
-		return nil, false
+	return b.learned(service)
+}
+
+// learned is Speed for a board that is locked.
+func (b *Board) learned(service string) *fleetv1.Speed {
+	s := b.speeds[service]
+	if s == nil {
+		return nil
+	}
+	told := s.Tell()
+	if told != nil {
+		told.Service = service
 	}
-	told.Service = service
-	return told, true
+	return told
 }
 
 // Adopt takes over what another process has learned of a service's engines, where
@@ -55,5 +59,5 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.without.speeds && b.speed(told.GetService(), 0).Adopt(told)
+	return !b.without.speeds && b.speed(&fleetv1.Service{Name: told.GetService()}).Adopt(told)
 }
--- a/internal/placement/mtboard/turns.go
+++ b/internal/placement/mtboard/turns.go
@@ -17,11 +17,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	naming := b.named[service.GetModel()]
-	named := time.Duration(0)
-	if len(naming.heard) > 0 {
-		named = time.Since(naming.heard[len(naming.heard)-1].since)
-	}
-	turns := mtturns.New(b.allowed, named, b.speed(service.GetName(), service.GetTransfer().AsDuration()).Answer(), b.knees[service.GetName()])
+	turns := mtturns.New(b.allowed, naming.age(), b.speed(service).Answer(), b.knees[service.GetName()])
 	newest := naming.weights.GetVersion()
 	for _, r := range b.services[service.GetName()] {
 		if r.replaced || r.target.GetLeaving() {
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		turns := f.board.Turns(service)
-		speed, known := f.board.Speed(service.GetName())
+		speed := f.board.Speed(service.GetName())
 		for _, engine := range view.Service(service.GetName()) {
 			if view.Replaced(engine) || !far && engine.GetDatacentre() != f.site.GetDatacentre() {
 				continue
@@ -60,7 +60,7 @@
 				Target:  engine.GetId(),
 				Weights: named,
 				Turn:    turns.Of(engine.GetId()),
-				Asks:    !known,
+				Asks:    speed == nil,
 			}
 			if far {
 				hello.Speed = speed
--- a/internal/relay/mtfront/speed.go
+++ b/internal/relay/mtfront/speed.go
@@ -26,10 +26,10 @@
 func (f *Front) tellSpeeds(last map[string]*fleetv1.Speed) {
 	for _, speed := range f.board.Speeds() {
 		before := last[speed.GetService()]
-		if before == nil {
+		switch {
+		case before == nil:
 			f.speedGauges(speed.GetService())
-		}
-		if before != nil && !changed(before, speed) {
+		case !changed(before, speed):
 			continue
 		}
 		last[speed.GetService()] = speed
@@ -42,8 +42,7 @@
 	label := `{service="` + service + `"}`
 	gauge := func(name string, of func(*fleetv1.Speed) time.Duration) {
 		f.trail.Metrics().Gauge(name+label, func() int64 {
-			speed, _ := f.board.Speed(service)
-			return of(speed).Nanoseconds()
+			return of(f.board.Speed(service)).Nanoseconds()
 		})
 	}
 	gauge("engine_start_ns", func(s *fleetv1.Speed) time.Duration { return s.GetStart().AsDuration() })
--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -8,11 +8,8 @@
 package mtrollout
 
 import (
-	"cmp"
 	"time"
 
-	"google.golang.org/protobuf/types/known/durationpb"
-
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 )
 
@@ -103,15 +100,19 @@
 
 // due is when an engine with the last turn told is to be ordered.
 func (p *Plan) due() time.Time {
-	wait := p.turn.GetHead().AsDuration() + time.Duration(p.turn.GetPlace())*p.turn.GetInterval().AsDuration()
+	wait := p.turn.GetHead().AsDuration() + p.before()
 	return time.Now().Add(p.lead() + min(max(0, wait), p.longest()))
 }
 
 // spread is the turn's place among those that are put off no longer: without it all
 // of them would load at once.
 func (p *Plan) spread() time.Duration {
-	wait := time.Duration(p.turn.GetPlace()) * p.turn.GetInterval().AsDuration()
-	return min(max(0, wait), time.Duration(spreadShare*float64(p.allowed)))
+	return min(max(0, p.before()), time.Duration(spreadShare*float64(p.allowed)))
+}
+
+// before is the time that the turns of the engines before this one take.
+func (p *Plan) before() time.Duration {
+	return time.Duration(p.turn.GetPlace()) * p.turn.GetInterval().AsDuration()
 }
 
 // longest bounds what a turn may be put off: half of the time allowed.
@@ -231,56 +232,3 @@
 	}
 	return due{}, false
 }
-
-// load is what is seen of an engine's loads. The zero value has seen none.
-type load struct {
-	seen bool
-	away bool
-	busy bool
-	// since is when the engine got no more requests, ordered when its load began.
-	since   time.Time
-	ordered time.Time
-	ended   time.Time
-	took    time.Duration
-	least   time.Duration
-}
-
-// waiting says that the engine gets no requests while its runs end.
-func (l *load) waiting() bool { return l.away && !l.busy }
-
-func (l *load) see(busy, away bool) {
-	now := time.Now()
-	if away && !l.away {
-		l.since, l.ended, l.took = now, time.Time{}, 0
-	}
-	if busy && !l.busy {
-		l.ordered = now
-	}
-	if !busy && l.busy {
-		l.ended = now
-		if l.seen && !l.ordered.IsZero() {
-			l.took = now.Sub(l.ordered)
-			l.least = min(cmp.Or(l.least, l.took), l.took)
-		}
-	}
-	if !l.seen && busy {
-		// A restarted sidecar meets an engine that loads: how long is not known.
-		l.ordered = time.Time{}
-	}
-	l.seen, l.busy, l.away = true, busy, away
-}
-
-func (l *load) tell() *fleetv1.Load {
-	told := &fleetv1.Load{}
-	if l.since.IsZero() {
-		return told
-	}
-	told.Begun = durationpb.New(time.Since(l.since))
-	if !l.ended.IsZero() {
-		told.Ended = durationpb.New(time.Since(l.ended))
-	}
-	if l.took > 0 {
-		told.Took, told.Least = durationpb.New(l.took), durationpb.New(l.least)
-	}
-	return told
-}
