Greet at a bounded rate, tell news to a few, and ask before choosing

Ruled out: notices and the store's answers as the bytes (27 and 20 MB).

Greetings keep their rate; only new weights and a first list go out at once. In a fleet of more than 60 engines each data centre has a queue of loads of its own, told by its own entries, or by others while it has none. Digests go to six entries, drawn anew, and news passes on; breaks and stops still go to all. Entries ask each other for what changed since.

--- a/internal/members/mtroster/roster.go
+++ b/internal/members/mtroster/roster.go
@@ -35,8 +35,23 @@
 	away     bool
 	// complete is the store's revision up to which the list is complete.
 	complete int64
+	// gone are the targets that were dropped last, in the order of their dropping.
+	gone []drop
+	// known is the revision after which every drop is among them.
+	known int64
 }
 
+// drop is a target that was dropped, and the revision up to which the list was
+// complete then.
+type drop struct {
+	id       string
+	revision int64
+}
+
+// keptDrops bounds the drops that are remembered: a release replaces every target
+// of a service within a minute, and entries ask each other within seconds.
+const keptDrops = 1024
+
 // View is the list at one moment.
 type View struct {
 	targets  map[string]*fleetv1.Target
@@ -46,6 +61,8 @@
 	number   uint64
 	complete int64
 	sum      uint64
+	gone     []drop
+	known    int64
 }
 
 // New returns an empty roster.
@@ -80,6 +97,26 @@
 // Complete is the store's revision up to which the list is complete.
 func (v *View) Complete() int64 { return v.complete }
 
+// Since lists what changed after a revision up to which another list is complete:
+// the targets that are new or differ, and the ids of those that were dropped. It
+// reports false where it does not remember as far back.
+func (v *View) Since(revision int64) (changed []*fleetv1.Target, gone []string, ok bool) {
+	if revision < v.known {
+		return nil, nil, false
+	}
+	for _, target := range v.targets {
+		if target.GetRevision() > revision {
+			changed = append(changed, target)
+		}
+	}
+	for _, d := range v.gone {
+		if d.revision > revision && v.targets[d.id] == nil {
+			gone = append(gone, d.id)
+		}
+	}
+	return changed, gone, true
+}
+
 // Sum is a checksum of the list, by which entries compare theirs.
 func (v *View) Sum() uint64 { return v.sum }
 
@@ -91,7 +128,8 @@
 	if revision < r.complete {
 		return nil
 	}
-	r.complete = revision
+	// What was dropped before another's list is not known.
+	r.complete, r.known, r.gone = revision, revision, nil
 	var dropped []string
 	for id := range r.targets {
 		if _, ok := list[id]; !ok && r.remove(id) {
@@ -112,6 +150,7 @@
 func (r *Roster) Change(updates iter.Seq2[string, *fleetv1.Target], revision int64) map[string]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.complete = max(r.complete, revision)
 	vanished := map[string]bool{}
 	changed := false
 	for id, target := range updates {
@@ -122,7 +161,6 @@
 			vanished[id] = r.remove(id)
 		}
 	}
-	r.complete = max(r.complete, revision)
 	if changed {
 		r.publish()
 	} else if view := *r.view.Load(); r.complete > view.complete {
@@ -165,7 +203,7 @@
 	for id, until := range r.missing {
 		if time.Now().After(until) {
 			delete(r.missing, id)
-			delete(r.targets, id)
+			r.drop(id)
 			dropped = append(dropped, id)
 		}
 	}
@@ -199,10 +237,20 @@
 	if _, ok := r.missing[id]; ok {
 		return false
 	}
-	delete(r.targets, id)
+	r.drop(id)
 	return true
 }
 
+// drop forgets a target, and remembers that it did.
+func (r *Roster) drop(id string) {
+	delete(r.targets, id)
+	r.gone = append(r.gone, drop{id, r.complete})
+	if over := len(r.gone) - keptDrops; over > 0 {
+		r.known = r.gone[over-1].revision
+		r.gone = slices.Clone(r.gone[over:])
+	}
+}
+
 func (r *Roster) publish() {
 	view := &View{
 		targets:  maps.Clone(r.targets),
@@ -210,6 +258,8 @@
 		newest:   map[string]*fleetv1.Target{},
 		number:   r.view.Load().number + 1,
 		complete: r.complete,
+		gone:     r.gone,
+		known:    r.known,
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
 		target := r.targets[id]
--- a/internal/members/mtroster/roster_test.go
+++ b/internal/members/mtroster/roster_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"pgregory.net/rapid"
+
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/members/mtroster"
 )
@@ -111,3 +113,56 @@
 	g.Expect(r.View().Number()).To(BeNumerically(">", number))
 	g.Expect(r.View().Complete()).To(Equal(int64(12)))
 }
+
+// Two entries' lists drift apart while one's watch is silent. What the other tells
+// of the changes since makes them alike; where it does not remember as far back, it
+// says so.
+func TestSinceLeadsOn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ahead, behind := mtroster.New(), mtroster.New()
+		revision := int64(1)
+		start := map[string]*fleetv1.Target{}
+		for i := range rapid.IntRange(0, 5).Draw(t, "targets") {
+			start[fmt.Sprint("t", i)] = target(fmt.Sprint("t", i), revision, false)
+		}
+		ahead.Replace(start, revision)
+		known := revision
+		if rapid.Bool().Draw(t, "both") {
+			behind.Replace(start, revision)
+		} else {
+			known = 0
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "changes") {
+			revision++
+			id := fmt.Sprint("t", rapid.IntRange(0, 7).Draw(t, "target"))
+			var now *fleetv1.Target
+			if rapid.Bool().Draw(t, "lives") {
+				now = target(id, revision, false)
+			}
+			update := map[string]*fleetv1.Target{id: now}
+			ahead.Change(maps.All(update), revision)
+			if known == revision-1 && rapid.Bool().Draw(t, "hears") {
+				behind.Change(maps.All(update), revision)
+				known = revision
+			}
+		}
+		changed, gone, ok := ahead.View().Since(behind.View().Complete())
+		if !ok {
+			if known > 0 {
+				t.Fatalf("nothing is told since %d", known)
+			}
+			return
+		}
+		updates := map[string]*fleetv1.Target{}
+		for _, now := range changed {
+			updates[now.GetId()] = now
+		}
+		for _, id := range gone {
+			updates[id] = nil
+		}
+		behind.Change(maps.All(updates), revision)
+		if behind.View().Sum() != ahead.View().Sum() {
+			t.Fatalf("%v became %v", ahead.View().All(), behind.View().All())
+		}
+	})
+}
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -37,9 +37,9 @@
 	// services are the records by service, in the order of their hashes.
 	services map[string][]*record
 	named    map[string]naming
-	// knees are, by service, the numbers of engines above which loads of weights
-	// were seen to slow each other down.
-	knees map[string]int
+	// knees are the numbers of engines of a queue above which loads of weights were
+	// seen to slow each other down.
+	knees map[queue]int
 	// speeds are those of the services' engines.
 	speeds map[string]*mtspeed.Speed
 	// delays are those of fetches from the stores of cached parts, by address.
@@ -48,6 +48,9 @@
 	without without
 }
 
+// queue names one of the queues in which engines load weights.
+type queue struct{ service, group string }
+
 // naming are a model's newest weights, and when this process heard of each of
 // the last versions.
 type naming struct {
@@ -95,6 +98,8 @@
 	// state is the sidecar's last word.
 	state *fleetv1.State
 	heard time.Time
+	// muted is until when the sidecar is not asked, as it did not answer.
+	muted time.Time
 	// loaded is what the target's last answer said of its load.
 	loaded  *fleetv1.Answer
 	loadAge time.Time
@@ -129,7 +134,7 @@
 		holders:    mtholder.New(),
 		records:    map[string]*record{},
 		named:      map[string]naming{},
-		knees:      map[string]int{},
+		knees:      map[queue]int{},
 		speeds:     map[string]*mtspeed.Speed{},
 		delays:     map[string]*delay{},
 	}
@@ -178,6 +183,7 @@
 	}
 	r.state = state
 	r.heard = time.Now()
+	r.muted = time.Time{}
 	b.cached(r, state)
 }
 
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -41,6 +41,8 @@
 	wait     time.Duration
 	bill     bill
 	cost     time.Duration
+	// current says that the cost rests on the sidecar's word of this moment.
+	current bool
 
 	since time.Time
 	first time.Time
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -1,6 +1,8 @@
 package mtboard
 
 import (
+	"iter"
+
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -10,27 +12,23 @@
 )
 
 // Choose returns the target of the least cost, or nil where no target can take
-// the request now.
+// the request now. Where sidecars were asked, those whose word is of this moment go
+// before the others: what looks better may be what was not heard of for longest.
 func (b *Board) Choose(q *Query) *Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.weighing(q)
 	var best Choice
 	var out unfit
 	lost := make([]loser, 0, told)
-	for _, r := range b.services[q.service.GetName()] {
-		c := w.candidate(r)
-		if l := w.lack(&c); l != lackNone {
+	for c, l := range b.weighing(q).candidates() {
+		if l != lackNone {
 			out[l]++
 			continue
 		}
-		w.weigh(&c)
-		b.without.leave(&c.bill)
-		c.cost = c.bill.sum()
 		switch {
 		case best.record == nil:
 			c.lost, best = lost, c
-		case c.cost < best.cost:
+		case c.before(&best):
 			c.lost = best.lost
 			c.lose(&best)
 			best = c
@@ -46,6 +44,34 @@
 	return &best
 }
 
+// before says that a candidate is the better one.
+func (c *Choice) before(other *Choice) bool {
+	if c.current != other.current {
+		return c.current
+	}
+	return c.cost < other.cost
+}
+
+// candidates are the service's targets, weighed where nothing keeps them from being
+// considered.
+func (w *weighing) candidates() iter.Seq2[Choice, lack] {
+	return func(yield func(Choice, lack) bool) {
+		for _, r := range w.board.services[w.query.service.GetName()] {
+			c := w.candidate(r)
+			l := w.lack(&c)
+			if l == lackNone {
+				w.weigh(&c)
+				w.board.without.leave(&c.bill)
+				c.cost = c.bill.sum()
+				c.current = w.query.current(r)
+			}
+			if !yield(c, l) {
+				return
+			}
+		}
+	}
+}
+
 func (w *weighing) candidate(r *record) Choice {
 	return Choice{
 		board: w.board, record: r, query: w.query, speed: w.speed, slack: w.slack, pays: w.pays,
--- a/internal/placement/mtboard/query.go
+++ b/internal/placement/mtboard/query.go
@@ -16,6 +16,10 @@
 	cache string
 	// aim is the time to the first token within which an answer is worth most.
 	aim time.Duration
+	// asked says that sidecars were asked for this choice, and silent which of them
+	// did not answer.
+	asked  bool
+	silent map[string]bool
 }
 
 // defaultAim stands for the aim of a route that names none.
--- a/internal/placement/mtboard/turns.go
+++ b/internal/placement/mtboard/turns.go
@@ -9,17 +9,63 @@
 	"github.com/mustardtide/mustardtide/internal/relay/mtturns"
 )
 
-// Turns works out in which order the service's engines load weights. An engine's
-// runs are given the mean length of an answer to end: longer, and engines wait on a
-// heavy day for a few long answers; shorter, and more of what was begun counts for
-// nothing.
-func (b *Board) Turns(service *fleetv1.Service) *mtturns.Turns {
+// oneQueue is the greatest number of engines that load weights in one queue: of so
+// many an entry hears all within a second. In a larger fleet each data centre has a
+// queue of its own, which its entries can see move.
+const oneQueue = 60
+
+// Queues are those in which a service's engines load weights.
+type Queues struct {
+	whole bool
+	of    map[string]*mtturns.Turns
+}
+
+// Whole says that there is one for the whole fleet.
+func (q *Queues) Whole() bool { return q.whole }
+
+// Of returns an engine's turn.
+func (q *Queues) Of(target *fleetv1.Target) *fleetv1.Turn {
+	turns := q.of[q.group(target)]
+	if turns == nil {
+		return nil
+	}
+	return turns.Of(target.GetId())
+}
+
+// group is the part of the fleet that shares an engine's queue.
+func (q *Queues) group(target *fleetv1.Target) string {
+	if q.whole {
+		return ""
+	}
+	return target.GetDatacentre()
+}
+
+// Queues works out in which order the service's engines load weights.
+func (b *Board) Queues(service *fleetv1.Service) *Queues {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	records := b.services[service.GetName()]
+	q := &Queues{whole: len(records) <= oneQueue, of: map[string]*mtturns.Turns{}}
+	groups := map[string][]*record{}
+	for _, r := range records {
+		group := q.group(r.target)
+		groups[group] = append(groups[group], r)
+	}
+	for group, list := range groups {
+		q.of[group] = b.turns(service, group, list)
+	}
+	return q
+}
+
+// turns works out one queue. An engine's runs are given the mean length of an answer
+// to end: longer, and engines wait on a heavy day for a few long answers; shorter, and
+// more of what was begun counts for nothing.
+func (b *Board) turns(service *fleetv1.Service, group string, records []*record) *mtturns.Turns {
 	naming := b.named[service.GetModel()]
-	turns := mtturns.New(b.allowed, naming.age(), b.speed(service).Answer(), b.knees[service.GetName()])
+	knee := queue{service.GetName(), group}
+	turns := mtturns.New(b.allowed, naming.age(), b.speed(service).Answer(), b.knees[knee])
 	newest := naming.weights.GetVersion()
-	for _, r := range b.services[service.GetName()] {
+	for _, r := range records {
 		if r.replaced || r.target.GetLeaving() {
 			continue
 		}
@@ -38,6 +84,6 @@
 	}
 	seed := uint64(naming.weights.GetRevision())
 	turns.Arrange(func(id string) uint64 { return xxh3.HashStringSeed(id, seed) })
-	b.knees[service.GetName()] = turns.Knee()
+	b.knees[knee] = turns.Knee()
 	return turns
 }
--- a/internal/placement/mtboard/without.go
+++ b/internal/placement/mtboard/without.go
@@ -16,8 +16,9 @@
 	items [items]bool
 	// store is that no store of cached parts is used, events that caches are not
 	// followed, notices that other entries' words on what is read are not heard,
-	// pace that targets are taken to be alike, and speeds that nothing is learned.
-	store, events, notices, pace, speeds bool
+	// pace that targets are taken to be alike, speeds that nothing is learned, and asks
+	// that no sidecar is asked before a choice.
+	store, events, notices, pace, speeds, asks bool
 }
 
 // billed are the mechanisms that are items of a bill.
@@ -39,7 +40,7 @@
 	defer b.mu.Unlock()
 	flags := map[string]*bool{
 		"store": &b.without.store, "events": &b.without.events, "notices": &b.without.notices,
-		"pace": &b.without.pace, "speeds": &b.without.speeds,
+		"pace": &b.without.pace, "speeds": &b.without.speeds, "asks": &b.without.asks,
 	}
 	for _, name := range names {
 		if flag := flags[name]; flag != nil {
--- a/internal/relay/mtbeside/entries.go
+++ b/internal/relay/mtbeside/entries.go
@@ -38,6 +38,19 @@
 type entry struct {
 	last    time.Time
 	pending int64
+	// far says that it greets seldom, and sees little of the engine's queue.
+	far bool
+}
+
+// heardNear says that some entry which greets often was heard of late: it sees the
+// queue of loads move, and its word on the engine's turn goes before the others'.
+func (s *Sidecar) heardNear() bool {
+	for _, e := range s.entries {
+		if !e.far && time.Since(e.last) <= entryTime {
+			return true
+		}
+	}
+	return false
 }
 
 // given are the tokens that the entry has given the engine to read.
--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -26,7 +26,10 @@
 	e.last, e.pending = time.Now(), hello.GetPending()
 	s.target = hello.GetTarget()
 	if hello.GetTurn() != nil {
-		s.plan.Turn(hello.GetTurn())
+		e.far = hello.GetFar()
+		if !e.far || !s.heardNear() {
+			s.plan.Turn(hello.GetTurn())
+		}
 	}
 	for _, weights := range hello.GetWeights() {
 		s.name(weights, "entry "+hello.GetEntry())
@@ -35,6 +38,7 @@
 		s.speed = hello.GetSpeed()
 	}
 	states := s.answer(from, hello)
+	states[0].Ask = hello.GetAsk()
 	if hello.GetAsks() {
 		states[0].Speed = s.speed
 	}
@@ -102,8 +106,8 @@
 	}
 }
 
-// tellAll tells every live entry at once: something has changed on which they
-// choose.
+// tellAll tells every live entry that greets often at once: something has changed
+// on which they choose. The others seldom choose this engine.
 func (s *Sidecar) tellAll() { s.tellSome(math.MaxInt) }
 
 // tellSome tells at most so many of them, drawn by the map's order.
@@ -115,11 +119,13 @@
 	}
 	s.spread = s.pending()
 	states := map[string]*fleetv1.State{}
-	for from := range s.entries {
+	for from, e := range s.entries {
 		if len(states) == most {
 			break
 		}
-		states[from] = s.state(from)
+		if !e.far {
+			states[from] = s.state(from)
+		}
 	}
 	s.mu.Unlock()
 	for from, state := range states {
--- a/internal/relay/mtfront/drain.go
+++ b/internal/relay/mtfront/drain.go
@@ -86,7 +86,7 @@
 	closing := mtclosing.Until(time.Now().Add(f.site.GetBounds().GetGrace().AsDuration()))
 	if f.closing.CompareAndSwap(nil, &closing) {
 		f.trail.Say(mtkind.FleetStopping, zap.Int64("live", f.Live()))
-		f.digest()
+		f.alarm()
 	}
 }
 
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -46,8 +46,9 @@
 	board  *mtboard.Board
 	roster *mtroster.Roster
 
-	peers   peers
-	catalog atomic.Pointer[mtcatalog.Catalog]
+	peers     peers
+	questions questions
+	catalog   atomic.Pointer[mtcatalog.Catalog]
 	// closing is set once the entry is told to stop.
 	closing atomic.Pointer[mtclosing.Closing]
 	// taking holds one of the values of that type.
@@ -58,7 +59,10 @@
 	late   atomic.Int64
 	wake   chan struct{}
 	spread chan struct{}
-	learn  chan ahead
+	alarms chan struct{}
+	// greeted says that some sidecar was greeted.
+	greeted atomic.Bool
+	learn   chan ahead
 	// away counts the kinds of objects for which the store does not answer.
 	away atomic.Int32
 
@@ -87,6 +91,7 @@
 		roster:     mtroster.New(),
 		wake:       make(chan struct{}, 1),
 		spread:     make(chan struct{}, 1),
+		alarms:     make(chan struct{}, 1),
 		learn:      make(chan ahead, 1),
 		suspects:   mtquarantine.After(crashes),
 		asker:      &http.Client{Transport: network.Outside(), Timeout: askTime},
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -10,69 +10,110 @@
 	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 )
 
-// greetRate bounds the greetings that an entry sends in a second: with their
-// answers about 400 bytes each, 24 KB a second. In a larger fleet each sidecar
-// hears from an entry less often.
-const greetRate = 60
+const (
+	// greetRate bounds the greetings that an entry sends in a second: with their
+	// answers about 400 bytes each, 24 KB a second. In a larger fleet each sidecar
+	// hears from an entry less often.
+	greetRate = 60
+	// farRounds is the least number of rounds that pass between two greetings to
+	// another data centre, whose engines are seldom chosen and whose bytes are dear.
+	farRounds = 3
+)
 
 // greet says hello to every sidecar now and then, and at once where new weights
-// were named.
+// were named. What has become of single targets waits for the next round: while
+// weights are rolled out to hundreds of engines, greeting all of them at each change
+// of the list took most of the fleet's bytes.
 func (f *Front) greet(ctx context.Context) error {
+	woken := true
 	for round := 0; ctx.Err() == nil; round++ {
-		count := f.helloAll(round%farRounds == 0)
-		pause := max(greetTime, time.Duration(count)*time.Second/greetRate)
+		count := f.helloAll(round, woken)
+		if count > 0 {
+			f.greeted.Store(true)
+		}
+		woken = false
 		select {
 		case <-ctx.Done():
 		case <-f.wake:
-			round = -1
-		case <-time.After(pause):
+			woken = true
+		case <-time.After(max(greetTime, time.Duration(count)*time.Second/greetRate)):
 		}
 	}
 	return ctx.Err()
 }
 
-// farRounds is how many rounds of greetings pass between two to other data
-// centres, which are seldom chosen and whose bytes are dear.
-const farRounds = 3
-
-// helloAll greets the sidecars of the data centre's engines, or of all, and
-// returns how many that were.
-func (f *Front) helloAll(far bool) int {
-	named := f.board.Named()
-	view := f.roster.View()
-	count := 0
+// helloAll sends one round of greetings, and returns how many that were.
+func (f *Front) helloAll(round int, woken bool) int {
 	catalog := f.catalog.Load()
 	if catalog == nil {
 		return 0
 	}
+	count := 0
 	for _, service := range catalog.Source().GetServices() {
-		if service.GetModel() == "" {
-			continue
-		}
-		turns := f.board.Turns(service)
-		speed := f.board.Speed(service.GetName())
-		for _, engine := range view.Service(service.GetName()) {
-			if view.Replaced(engine) || !far && engine.GetDatacentre() != f.site.GetDatacentre() {
-				continue
-			}
-			hello := &fleetv1.Hello{
-				Entry:   f.site.GetName(),
-				Target:  engine.GetId(),
-				Weights: named,
-				Turn:    turns.Of(engine.GetId()),
-				Asks:    speed == nil,
-			}
-			if far {
-				hello.Speed = speed
-			}
-			f.board.Fill(hello)
-			f.hello(mtports.SidecarWords.At(f.site, engine.GetAddress()), hello)
-			count++
+		if service.GetModel() != "" {
+			count += f.helloService(service, round, woken)
 		}
 	}
 	return count
 }
 
+// helloService greets the sidecars of a service's near engines, and a part of the
+// others.
+func (f *Front) helloService(service *fleetv1.Service, round int, woken bool) int {
+	near, far := f.engines(service)
+	queues := f.board.Queues(service)
+	if !woken || !queues.Whole() {
+		far = turnOf(far, round, farEach(len(near), len(far)))
+	}
+	speed := f.board.Speed(service.GetName())
+	named := f.board.Named()
+	for i, engine := range append(near, far...) {
+		away := i >= len(near)
+		hello := &fleetv1.Hello{
+			Entry:   f.site.GetName(),
+			Target:  engine.GetId(),
+			Weights: named,
+			Turn:    queues.Of(engine),
+			Asks:    speed == nil,
+			Far:     away && !queues.Whole(),
+		}
+		if away {
+			hello.Speed = speed
+		}
+		f.board.Fill(hello)
+		f.hello(mtports.SidecarWords.At(f.site, engine.GetAddress()), hello)
+	}
+	return len(near) + len(far)
+}
+
+// engines lists a service's engines in the entry's data centre, and the others.
+func (f *Front) engines(service *fleetv1.Service) (near, far []*fleetv1.Target) {
+	view := f.roster.View()
+	for _, engine := range view.Service(service.GetName()) {
+		switch {
+		case view.Replaced(engine):
+		case engine.GetDatacentre() == f.site.GetDatacentre():
+			near = append(near, engine)
+		default:
+			far = append(far, engine)
+		}
+	}
+	return near, far
+}
+
+// farEach is in how many rounds all engines of other data centres are greeted.
+func farEach(near, far int) int {
+	part := max(near, greetRate/farRounds)
+	return max(farRounds, (far+part-1)/part)
+}
+
+// turnOf returns the part of a list that one round greets, where so many rounds
+// greet all.
+func turnOf(list []*fleetv1.Target, round, rounds int) []*fleetv1.Target {
+	part := round % rounds
+	return list[len(list)*part/rounds : len(list)*(part+1)/rounds]
+}
+
 // burden tells a sidecar that the entry has given its engine much to read, or
 // that it was read; the other entries hear of it from the sidecar.
 func (f *Front) burden(target, address string) {
@@ -108,6 +149,9 @@
 // hearState takes in a sidecar's state.
 func (f *Front) hearState(from string, state *fleetv1.State) {
 	f.board.Hear(state)
+	if state.GetAsk() != 0 {
+		f.questions.answer(state.GetAsk(), state.GetTarget())
+	}
 	f.peers.see(state.GetPeers(), f.socket.Address())
 	if state.GetMore() {
 		hello := &fleetv1.Hello{Entry: f.site.GetName(), Target: state.GetTarget()}
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -1,6 +1,7 @@
 package mtfront
 
 import (
+	"iter"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,28 +49,43 @@
 
 // Changes gets what changed.
 func (s *targets) Changes(changes []mtobjects.Change[*fleetv1.Target], revision int64) {
-	before := s.front.roster.View()
-	updates := func(yield func(string, *fleetv1.Target) bool) {
+	s.front.change(func(yield func(string, *fleetv1.Target) bool) {
 		for _, change := range changes {
 			var target *fleetv1.Target
 			if !change.Gone() {
 				target = change.Value()
-				s.front.tellTarget(before.Target(change.Name()), target, "store")
 			}
 			if !yield(change.Name(), target) {
 				return
 			}
 		}
+	}, revision, "store")
+}
+
+// change takes in entries' new values, nil for one that is gone, up to a revision.
+func (f *Front) change(updates iter.Seq2[string, *fleetv1.Target], revision int64, source string) {
+	before := f.roster.View()
+	count := 0
+	logged := func(yield func(string, *fleetv1.Target) bool) {
+		for id, target := range updates {
+			count++
+			if target != nil {
+				f.tellTarget(before.Target(id), target, source)
+			}
+			if !yield(id, target) {
+				return
+			}
+		}
 	}
-	for id, dropped := range s.front.roster.Change(updates, revision) {
+	for id, dropped := range f.roster.Change(logged, revision) {
 		kind := mtkind.TargetMissing
 		if dropped {
 			kind = mtkind.TargetGone
 		}
-		s.front.trail.Warn(kind, zap.String("target", id))
+		f.trail.Warn(kind, zap.String("target", id), zap.String("from", source))
 	}
-	if len(changes) > 0 {
-		s.front.listed()
+	if count > 0 {
+		f.listed()
 	}
 }
 
@@ -138,7 +154,9 @@
 	f.trail.Say(mtkind.CatalogInForce, zap.Int64("version", source.GetVersion()), zap.Int64("revision", source.GetRevision()),
 		zap.Int("routes", len(source.GetRoutes())), zap.Int("accounts", len(source.GetAccounts())), zap.String("from", from))
 	f.digest()
-	f.hurry()
+	if old == nil {
+		f.hurry()
+	}
 }
 
 // weights takes in the named weights of models.
@@ -188,7 +206,9 @@
 	view := f.roster.View()
 	f.board.List(view.All(), view.Replaced)
 	f.digest()
-	f.hurry()
+	if !f.greeted.Load() {
+		f.hurry()
+	}
 }
 
 // hurry lets the next greeting go out now.
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -28,14 +29,25 @@
 	quickWatch = 2200 * time.Millisecond
 	// slowWatch is the same for the others.
 	slowWatch = 15 * time.Second
-	// quickGather and slowGather are how long changes gather: short beside the two
-	// seconds in which they must be in force.
+	// quickGather is how long changes gather at the entries that look often: short
+	// beside the two seconds in which they must be in force. The others hear of
+	// them from these.
 	quickGather = 100 * time.Millisecond
-	slowGather  = 500 * time.Millisecond
+	// gatherRate bounds the calls that the others make together in a second while
+	// changes follow each other: a rollout changes every engine's entry.
+	gatherRate = 16
+	// leastGather and mostGather bound how long changes gather there, so that an
+	// entry to which nobody speaks is in time too.
+	leastGather = 500 * time.Millisecond
+	mostGather  = 3 * time.Second
 	// quick is how many entries look often: two, as one may be cut off.
 	quick = 2
 	// digestTime is how often entries tell each other how far they know.
 	digestTime = 300 * time.Millisecond
+	// digestPeers are the entries, drawn anew each time, that are told: what is new
+	// passes through a hundred entries in three such steps, and what each sends does
+	// not grow with their number.
+	digestPeers = 6
 	// ownTime is how long an entry waits for its own calls before it asks a peer
 	// that knows more: usually both hear together. startTime is the same while it
 	// has no complete list yet: after a restart of all, lists of thousands of
@@ -62,7 +74,7 @@
 	if f.looksOften() {
 		return quickGather
 	}
-	return slowGather
+	return min(mostGather, max(leastGather, time.Duration(f.peers.count())*time.Second/gatherRate))
 }
 
 // looksOften says that this entry is one of those that look often.
@@ -81,15 +93,23 @@
 	return before < quick
 }
 
-// digest lets the other entries hear at once how far this one knows.
+// digest lets some of the other entries hear at once how far this one knows; they
+// tell others.
 func (f *Front) digest() { nudge(f.spread) }
 
-// spreadAll tells the other entries now and then, and at once where something
-// has changed.
+// alarm lets every other entry hear at once what this one says for itself alone: a
+// request that broke a target, and its own end.
+func (f *Front) alarm() { nudge(f.alarms) }
+
+// spreadAll tells some of the other entries now and then, and at once where
+// something has changed.
 func (f *Front) spreadAll(ctx context.Context) error {
 	for ctx.Err() == nil {
+		most := digestPeers
 		select {
 		case <-ctx.Done():
+		case <-f.alarms:
+			most = math.MaxInt
 		case <-f.spread:
 		case <-time.After(digestTime):
 		}
@@ -101,7 +121,7 @@
 		if closing := f.closing.Load(); closing != nil {
 			digest.Left = durationpb.New(max(0, closing.Left(time.Now())))
 		}
-		f.peers.tell(f.socket, &fleetv1.Word{Word: &fleetv1.Word_Digest{Digest: digest}})
+		f.peers.tell(f.socket, &fleetv1.Word{Word: &fleetv1.Word_Digest{Digest: digest}}, most)
 	}
 	return ctx.Err()
 }
@@ -174,7 +194,11 @@
 func (f *Front) ask(ctx context.Context, from string) {
 	address := mtports.EntryCalls.At(f.site, from)
 	client := fleetv1connect.NewPeerServiceClient(f.asker, "http://"+address)
-	answer, err := client.Know(ctx, connect.NewRequest(&fleetv1.KnowRequest{}))
+	request := &fleetv1.KnowRequest{Targets: f.roster.View().Complete()}
+	if catalog := f.catalog.Load(); catalog != nil {
+		request.Catalog = catalog.Revision()
+	}
+	answer, err := client.Know(ctx, connect.NewRequest(request))
 	if err != nil {
 		f.trail.Warn(mtkind.PeerLost, zap.String("peer", address), zap.Error(err))
 		return
@@ -186,22 +210,50 @@
 	for _, weights := range known.GetNamed() {
 		f.named(weights, "entry "+address)
 	}
-	if view := f.roster.View(); known.GetRevision() > view.Complete() {
+	f.learnTargets(known, "entry "+address)
+}
+
+// learnTargets takes over another entry's list, or what changed in it.
+func (f *Front) learnTargets(known *fleetv1.Knowledge, source string) {
+	complete := f.roster.View().Complete()
+	switch {
+	case known.GetRevision() <= complete:
+	case known.GetSince() == 0:
 		found := map[string]*fleetv1.Target{}
 		for _, target := range known.GetTargets() {
 			found[target.GetId()] = target
 		}
-		f.replace(found, known.GetRevision(), "entry "+address)
+		f.replace(found, known.GetRevision(), source)
+	case known.GetSince() <= complete:
+		f.change(func(yield func(string, *fleetv1.Target) bool) {
+			for _, id := range known.GetGone() {
+				if !yield(id, nil) {
+					return
+				}
+			}
+			for _, target := range known.GetTargets() {
+				if !yield(target.GetId(), target) {
+					return
+				}
+			}
+		}, known.GetRevision(), source)
 	}
 }
 
-// Know answers another entry.
-func (f *Front) Know(context.Context, *connect.Request[fleetv1.KnowRequest]) (*connect.Response[fleetv1.Knowledge], error) {
+// Know answers another entry with what it does not know: a whole list a change
+// would fill the links of hundreds of entries while weights are rolled out.
+func (f *Front) Know(_ context.Context, request *connect.Request[fleetv1.KnowRequest]) (*connect.Response[fleetv1.Knowledge], error) {
 	view := f.roster.View()
 	known := &fleetv1.Knowledge{Revision: view.Complete(), Named: f.board.Named(), Speeds: f.board.Speeds()}
-	if catalog := f.catalog.Load(); catalog != nil {
+	if catalog := f.catalog.Load(); catalog != nil && catalog.Revision() > request.Msg.GetCatalog() {
 		known.Catalog = catalog.Source()
 	}
+	if since := request.Msg.GetTargets(); since > 0 {
+		if changed, gone, ok := view.Since(since); ok {
+			known.Since, known.Targets, known.Gone = since, changed, gone
+			return connect.NewResponse(known), nil
+		}
+	}
 	for _, target := range view.All() {
 		known.Targets = append(known.Targets, target)
 	}
--- a/internal/relay/mtfront/peers.go
+++ b/internal/relay/mtfront/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -13,11 +14,14 @@
 )
 
 const (
-	// peerTime is how long another entry counts as live after a sidecar named it.
-	peerTime = 2 * time.Second
-	// maxPeers bounds the entries that are told: in a larger fleet each tells a
-	// few, and the sidecars tell the rest.
-	maxPeers = 32
+	// peerTime is how long another entry counts as live after it was heard of: in a
+	// fleet of a hundred entries each is heard of every second or two, as sidecars
+	// name a few with each word and entries speak to a few at a time.
+	peerTime = 5 * time.Second
+	// maxPeers bounds the entries that are known.
+	maxPeers = 1024
+	// noticePeers bounds the entries that are told what an engine reads.
+	noticePeers = 32
 )
 
 // peers are the other entries, as the sidecars name them and as they say
@@ -91,10 +95,20 @@
 	maps.DeleteFunc(p.known, func(_ string, other peer) bool { return time.Since(other.last) > peerTime })
 }
 
-// tell sends a word to all. A notice that is lost costs a part read twice; a
-// digest is made up for by the next.
-func (p *peers) tell(socket mtpulse.Socket, word *fleetv1.Word) {
-	for _, address := range p.list() {
+// count is the number of the live ones.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget()
+	return len(p.known)
+}
+
+// tell sends a word to at most so many, drawn at random. A notice that is lost costs
+// a part read twice; a digest is made up for by the next.
+func (p *peers) tell(socket mtpulse.Socket, word *fleetv1.Word, most int) {
+	list := p.list()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, address := range list[:min(most, len(list))] {
 		_ = socket.Send(address, word)
 	}
 }
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -150,7 +150,7 @@
 	if read {
 		notice.Store = choice.Save()
 	}
-	r.front.peers.tell(r.front.socket, &fleetv1.Word{Word: &fleetv1.Word_Notice{Notice: notice}})
+	r.front.peers.tell(r.front.socket, &fleetv1.Word{Word: &fleetv1.Word_Notice{Notice: notice}}, noticePeers)
 }
 
 // logSent names the target and why it was chosen.
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -181,6 +181,7 @@
 			r.front.trail.Metrics().Add("retries_denied_total", 1)
 			break
 		}
+		r.front.consult(ctx, query)
 		choice := r.front.board.Choose(query)
 		if choice == nil {
 			if r.tries == 0 && r.unreached == 0 {
--- a/internal/relay/mtfront/suspect.go
+++ b/internal/relay/mtfront/suspect.go
@@ -52,7 +52,7 @@
 	r.front.mu.Lock()
 	r.front.fresh = append(r.front.fresh, breakage{suspect, time.Now()})
 	r.front.mu.Unlock()
-	r.front.digest()
+	r.front.alarm()
 }
 
 // recent lists the breaks of which other entries are still told.
--- a/internal/standin/mtpost/post.go
+++ b/internal/standin/mtpost/post.go
@@ -19,10 +19,13 @@
 	mu      sync.Mutex
 	sockets map[string]*socket
 	cut     map[string]bool
+	sent    map[string]int
 }
 
 // New returns a network without sockets.
-func New() *Post { return &Post{sockets: map[string]*socket{}, cut: map[string]bool{}} }
+func New() *Post {
+	return &Post{sockets: map[string]*socket{}, cut: map[string]bool{}, sent: map[string]int{}}
+}
 
 // Cut lets all datagrams to and from an address be lost, or none any more.
 func (p *Post) Cut(address string, cut bool) {
@@ -31,6 +34,13 @@
 	p.cut[address] = cut
 }
 
+// Sent counts the datagrams that were sent from an address.
+func (p *Post) Sent(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sent[address]
+}
+
 // Open binds an address.
 func (p *Post) Open(address string) mtpulse.Socket {
 	s := &socket{post: p, address: address, waiting: make(chan datagram, backlog)}
@@ -59,6 +69,7 @@
 		return err
 	}
 	s.post.mu.Lock()
+	s.post.sent[s.address]++
 	receiver := s.post.sockets[to]
 	lost := receiver == nil || s.post.cut[to] || s.post.cut[s.address]
 	s.post.mu.Unlock()
