Take no interrupted load for a slow one

Traced: two engines crash in the middle of their loads; back with the weights of before, their sidecars tell loads that took as long as the outage. Beside loads that were not slowed these look like engines that slow each other down, the queue goes two at once in place of five, and when its time is nearly over all go.

A load whose end brings no newer weights sets no pace.

--- a/internal/relay/mtrollout/load.go
+++ b/internal/relay/mtrollout/load.go
@@ -20,22 +20,28 @@
 	ended   time.Time
 	took    time.Duration
 	least   time.Duration
+	// served is the sum of the versions that the engine had when its load began.
+	served int64
 }
 
 // waiting says that the engine gets no requests while its runs end.
 func (l *load) waiting() bool { return l.away && !l.busy }
 
-func (l *load) see(busy, away bool) {
+// see takes in whether the engine loads, whether it gets no requests, and the sum of the
+// versions that it serves. An engine that crashes in the middle of its load comes back
+// with the weights of before: what that took says nothing of loads, and would look as if
+// they slowed each other down.
+func (l *load) see(busy, away bool, serves int64) {
 	now := time.Now()
 	if away && !l.away {
 		l.since, l.ended, l.took = now, time.Time{}, 0
 	}
 	if busy && !l.busy {
-		l.ordered = now
+		l.ordered, l.served = now, serves
 	}
 	if !busy && l.busy {
 		l.ended = now
-		if l.seen && !l.ordered.IsZero() {
+		if l.seen && !l.ordered.IsZero() && serves > l.served {
 			l.took = now.Sub(l.ordered)
 			l.least = min(cmp.Or(l.least, l.took), l.took)
 		}
--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -145,10 +145,12 @@
 
 // See takes in which weights the engine serves, and whether it loads.
 func (p *Plan) See(report *fleetv1.Report) {
+	var serves int64
 	for _, m := range report.GetModels() {
+		serves += m.GetVersion()
 		p.waits[m.GetModel()] = m.GetVersion() < p.named[m.GetModel()].weights.GetVersion()
 	}
-	p.load.see(report.GetBusy(), p.Ordering(report))
+	p.load.see(report.GetBusy(), p.Ordering(report), serves)
 }
 
 // Load is the last load of weights that was seen.
--- a/internal/relay/mtturns/rollout_test.go
+++ b/internal/relay/mtturns/rollout_test.go
@@ -273,6 +273,18 @@
 	})
 }
 
+// Two engines crash in the middle of their loads, and their sidecars see these end when
+// they are back. The pace was taken to be that of engines that slow each other down, two
+// at once in place of five, until the time was nearly over and eight of fifteen went.
+func TestInterruptedLoadsSetNoPace(t *testing.T) {
+	s := scenario{engines: 15, entries: 2, knee: 5, share: 1, loss: 0.1, namings: 2, gap: 51, crashed: 2, crash: 82}
+	synctest.Test(t, func(t *testing.T) {
+		if failure := rollouts(s); failure != "" {
+			t.Fatal(failure)
+		}
+	})
+}
+
 // rollouts plays one fleet and returns what went wrong, or "".
 func rollouts(s scenario) string {
 	m := newModel(s)
