Keep who holds which part with a keeper of each, and ask it

Cause: an entry knows the caches of its own data centre's engines and its own sends, one in 68 of a large fleet's; each part was read anew in each data centre.

Change: each part has two keepers among the live sidecars, by a hash; where there are no sidecars, an entry. Entries tell them what they have given an engine to read, and ask them, with the sidecars of the best engines, before they choose; holders that are found are asked in turn. Notices between entries go.

--- a/internal/members/mtfollow/follow.go
+++ b/internal/members/mtfollow/follow.go
@@ -15,11 +15,9 @@
 const (
 	// probeTime is how long a watch waits while the store is away.
 	probeTime = time.Millisecond
-	// firstPause and lastPause bound the wait after a failed call; half of each
-	// is random, so that a fleet does not return to the store as one. The last
-	// is short beside the two seconds in which a change must be in force.
+	// firstPause is the wait after the first failed call; half of each is random, so
+	// that a fleet does not return to the store as one.
 	firstPause = 50 * time.Millisecond
-	lastPause  = 400 * time.Millisecond
 )
 
 // Source is a kind of objects in the store; C is its type of change.
@@ -35,6 +33,8 @@
 	Wait() time.Duration
 	// Pause is how long changes may gather before the next watch after some.
 	Pause() time.Duration
+	// Retry is the longest wait between calls while the store does not answer.
+	Retry() time.Duration
 	// Replace gets the complete list, at a revision of the store.
 	Replace(list []C, revision int64)
 	// Changes gets what changed up to a revision.
@@ -141,7 +141,7 @@
 		f.sink.Away(err)
 	}
 	wait(ctx, f.pause/2+rand.N(f.pause/2))
-	f.pause = min(2*f.pause, lastPause)
+	f.pause = min(2*f.pause, f.sink.Retry())
 }
 
 // silent says that the call ended by its own bound.
--- a/internal/members/mtfollow/follow_test.go
+++ b/internal/members/mtfollow/follow_test.go
@@ -44,6 +44,7 @@
 
 func (s *sink) Wait() time.Duration            { return time.Second }
 func (s *sink) Pause() time.Duration           { return 0 }
+func (s *sink) Retry() time.Duration           { return 400 * time.Millisecond }
 func (s *sink) Replace(list []string, _ int64) { s.lists = append(s.lists, list) }
 func (s *sink) Changes(_ []string, _ int64)    {}
 func (s *sink) Away(error)                     { s.away++ }
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -197,15 +197,14 @@
 	b.cached(r, state)
 }
 
-// Unattended gives the addresses of the model engines whose sidecars have not spoken for
-// a time.
-func (b *Board) Unattended(silence time.Duration) []string {
+// Unattended lists the model engines whose sidecars have not spoken for a time.
+func (b *Board) Unattended(silence time.Duration) []*fleetv1.Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list []string
+	var list []*fleetv1.Target
 	for _, r := range b.records {
 		if len(r.target.GetModels()) > 0 && !r.replaced && !r.target.GetLeaving() && time.Since(r.spoke) > silence {
-			list = append(list, r.target.GetAddress())
+			list = append(list, r.target)
 		}
 	}
 	return list
@@ -251,21 +250,6 @@
 	}
 }
 
-// Notice takes in what another entry has given an engine to read.
-func (b *Board) Notice(notice *fleetv1.Notice) {
-	if b.without.notices {
-		return
-	}
-	if store := notice.GetStore(); store != "" {
-		b.holders.Keep(notice.GetSalt(), store, notice.GetParts())
-	}
-	if notice.GetRead() {
-		b.holders.Note(notice.GetSalt(), notice.GetTarget(), notice.GetParts())
-		return
-	}
-	b.holders.Read(notice.GetSalt(), notice.GetTarget(), notice.GetParts())
-}
-
 // Name takes in a model's newest weights; it reports whether they are news.
 func (b *Board) Name(weights *fleetv1.Weights) bool {
 	b.mu.Lock()
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -144,15 +144,11 @@
 	}
 }
 
-// Reads says that the target is to read so much of the shared parts that other
-// entries should know, and which parts.
-func (c *Choice) Reads() ([]*fleetv1.Part, bool) {
-	return c.query.shared(), c.salt != "" && c.query.sharedTokens()-c.matched-c.fetched >= tellLeast
-}
+// Holds says that the target is believed to hold all shared parts.
+func (c *Choice) Holds() bool { return c.matched >= c.query.sharedTokens() }
 
-// tellLeast is the least number of tokens to be read of which other entries are
-// told: below it reading them again costs little more than the telling.
-const tellLeast = 256
+// Deepest is the prompt's deepest shared part, under which its holders are kept.
+func (c *Choice) Deepest() []*fleetv1.Part { return []*fleetv1.Part{deepest(c.query.ask)} }
 
 // Started notes the first byte of the answer: the prompt has been read.
 func (c *Choice) Started(answer *fleetv1.Answer) {
--- a/internal/placement/mtboard/query.go
+++ b/internal/placement/mtboard/query.go
@@ -20,6 +20,8 @@
 	// did not answer.
 	asked  bool
 	silent map[string]bool
+	// sought are the targets that were found to hold the prompt's shared parts.
+	sought []string
 }
 
 // defaultAim stands for the aim of a route that names none.
@@ -47,6 +49,9 @@
 	return &Query{service: service, ask: ask, account: account, excluded: map[string]bool{}, cache: cache, aim: aim}
 }
 
+// Ask is what the caller asks for.
+func (q *Query) Ask() *fleetv1.Ask { return q.ask }
+
 // Exclude leaves a target out of later choices.
 func (q *Query) Exclude(target string) { q.excluded[target] = true }
 
@@ -71,6 +76,15 @@
 	return parts[:len(parts)-1]
 }
 
+// Parts are the ids of the parts that other requests may have too.
+func (q *Query) Parts() []string {
+	var ids []string
+	for _, part := range q.shared() {
+		ids = append(ids, part.GetId())
+	}
+	return ids
+}
+
 func (q *Query) sharedTokens() int64 {
 	var tokens int64
 	for _, part := range q.shared() {
--- a/internal/placement/mtboard/without.go
+++ b/internal/placement/mtboard/without.go
@@ -15,10 +15,11 @@
 	some  bool
 	items [items]bool
 	// store is that no store of cached parts is used, events that caches are not
-	// followed, notices that other entries' words on what is read are not heard,
+	// followed,
 	// pace that targets are taken to be alike, speeds that nothing is learned, and asks
-	// that no sidecar is asked before a choice.
-	store, events, notices, pace, speeds, asks bool
+	// that no sidecar is asked before a choice, and directory that holders are not looked
+	// for.
+	store, events, pace, speeds, asks, directory bool
 }
 
 // billed are the mechanisms that are items of a bill.
@@ -39,8 +40,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	flags := map[string]*bool{
-		"store": &b.without.store, "events": &b.without.events, "notices": &b.without.notices,
-		"pace": &b.without.pace, "speeds": &b.without.speeds, "asks": &b.without.asks,
+		"store": &b.without.store, "events": &b.without.events,
+		"pace": &b.without.pace, "speeds": &b.without.speeds, "asks": &b.without.asks, "directory": &b.without.directory,
 	}
 	for _, name := range names {
 		if flag := flags[name]; flag != nil {
--- a/internal/placement/mtholder/holder.go
+++ b/internal/placement/mtholder/holder.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 )
 
@@ -35,6 +37,12 @@
 	// fetched from there: it has several times an engine's memory, and a fetch that
 	// misses shows.
 	keeping = time.Minute
+	// named is how long a target is named to others that look for a part: they ask its
+	// sidecar before they rely on it.
+	named = 30 * time.Second
+	// settled is how long what was heard of a part stands against the target's own word
+	// that it does not hold it: engines tell of what they have read a moment later.
+	settled = 300 * time.Millisecond
 	// told is how long a part counts as held where the target has told of it: a few
 	// events never come.
 	told = time.Minute
@@ -229,6 +237,82 @@
 	return found
 }
 
+// Believe remembers what another process has heard of the parts, which may be old.
+func (m *Memory) Believe(holder *fleetv1.Holder, parts []*fleetv1.Part) {
+	h := held{
+		target: holder.GetTarget(), since: time.Now().Add(-holder.GetAge().AsDuration()), tokens: unknown,
+		reading: holder.GetReading(), kept: holder.GetStore(),
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, part := range parts {
+		k := key{holder.GetSalt(), part.GetId()}
+		if old, ok := m.of(k, h.target); ok && !old.since.Before(h.since) {
+			continue
+		}
+		m.note(k, h)
+	}
+}
+
+// of returns what is remembered of one target of a part.
+func (m *Memory) of(k key, target string) (held, bool) {
+	if element := m.parts[k]; element != nil {
+		for _, h := range element.Value.(*record).held {
+			if h.target == target {
+				return h, true
+			}
+		}
+	}
+	return held{}, false
+}
+
+// Answer takes in a target's own word on what it holds of some parts.
+func (m *Memory) Answer(target string, salts, parts []string, found []*fleetv1.Held) {
+	m.Learn(target, found)
+	has := map[key]bool{}
+	for _, f := range found {
+		has[key{f.GetSalt(), f.GetPart()}] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, salt := range salts {
+		for _, part := range parts {
+			k := key{salt, part}
+			if h, ok := m.of(k, target); ok && !has[k] && !h.fresh() {
+				m.drop(m.parts[k], target)
+			}
+		}
+	}
+}
+
+// fresh says that the target's own word may not reach as far yet.
+func (h held) fresh() bool {
+	return h.reading && time.Since(h.since) < given || time.Since(h.since) < settled
+}
+
+// Holders names who holds a part, or is about to, the newest first and at most so many.
+func (m *Memory) Holders(salt, part string, most int) []*fleetv1.Holder {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	element := m.parts[key{salt, part}]
+	if element == nil {
+		return nil
+	}
+	list := slices.Clone(element.Value.(*record).held)
+	slices.SortFunc(list, func(a, b held) int { return b.since.Compare(a.since) })
+	var holders []*fleetv1.Holder
+	for _, h := range list {
+		age := time.Since(h.since)
+		if len(holders) == most || age > max(named, h.lasting()) || h.reading && age > given {
+			continue
+		}
+		holders = append(holders, &fleetv1.Holder{
+			Salt: salt, Target: h.target, Reading: h.reading, Age: durationpb.New(age), Store: h.kept,
+		})
+	}
+	return holders
+}
+
 // Drop forgets that a target holds the parts.
 func (m *Memory) Drop(salt, target string, parts []*fleetv1.Part) {
 	m.mu.Lock()
--- a/internal/prefix/mtheld/log.go
+++ b/internal/prefix/mtheld/log.go
@@ -68,6 +68,19 @@
 	}
 }
 
+// Find returns those of some parts that are held.
+func (l *Log) Find(salts, parts []string) []*fleetv1.Held {
+	var found []*fleetv1.Held
+	for _, salt := range salts {
+		for _, part := range parts {
+			if e := l.parts[key{salt, part}]; e != nil && e.Value.(*change).held.GetTokens() > 0 {
+				found = append(found, e.Value.(*change).held)
+			}
+		}
+	}
+	return found
+}
+
 // Fill adds to a state the changes after a number that the asker knows of an
 // epoch. Where they are no longer kept, it begins anew.
 func (l *Log) Fill(state *fleetv1.State, epoch int64, since uint64) {
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -15,6 +15,7 @@
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/observe/mttrail"
+	"github.com/mustardtide/mustardtide/internal/placement/mtdirectory"
 	"github.com/mustardtide/mustardtide/internal/prefix/mtheld"
 	"github.com/mustardtide/mustardtide/internal/relay/mtgate"
 	"github.com/mustardtide/mustardtide/internal/relay/mtprobe"
@@ -55,6 +56,8 @@
 	gate    *mtgate.Gate
 	entries map[string]*entry
 	held    *mtheld.Log
+	// directory is the sidecar's share of who holds which parts.
+	directory *mtdirectory.Directory
 	// target is the engine's id as the entries know it.
 	target string
 	report *fleetv1.Report
@@ -72,17 +75,18 @@
 // New returns a sidecar that speaks through a socket.
 func New(site *fleetv1.Site, network *mtnet.Net, socket mtpulse.Socket, trail *mttrail.Trail) *Sidecar {
 	return &Sidecar{
-		site:    site,
-		socket:  socket,
-		store:   mtobjects.New(site.GetStore(), network.Outside()),
-		trail:   trail,
-		engine:  mtprobe.New(site.GetTarget(), network.Dial),
-		plan:    mtrollout.New(site.GetBounds().GetWeights().AsDuration()),
-		gate:    mtgate.New(),
-		entries: map[string]*entry{},
-		held:    mtheld.New(),
-		report:  &fleetv1.Report{},
-		failed:  lostAfter,
+		site:      site,
+		socket:    socket,
+		store:     mtobjects.New(site.GetStore(), network.Outside()),
+		trail:     trail,
+		engine:    mtprobe.New(site.GetTarget(), network.Dial),
+		plan:      mtrollout.New(site.GetBounds().GetWeights().AsDuration()),
+		gate:      mtgate.New(),
+		entries:   map[string]*entry{},
+		held:      mtheld.New(),
+		directory: mtdirectory.New(),
+		report:    &fleetv1.Report{},
+		failed:    lostAfter,
 	}
 }
 
--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -13,10 +13,25 @@
 
 // hear takes in an entry's word and answers it.
 func (s *Sidecar) hear(from string, data []byte) {
-	hello := &fleetv1.Hello{}
-	if err := proto.Unmarshal(data, hello); err != nil || hello.GetTarget() == "" {
+	call := &fleetv1.Call{}
+	if err := proto.Unmarshal(data, call); err != nil {
+		s.trail.Metrics().Add("datagrams_unreadable_total", 1)
 		return
 	}
+	switch c := call.GetCall().(type) {
+	case *fleetv1.Call_Hello:
+		if c.Hello.GetTarget() != "" {
+			s.greeted(from, c.Hello)
+		}
+	case *fleetv1.Call_Notice:
+		s.directory.Take(c.Notice)
+	case *fleetv1.Call_Seek:
+		s.say(&fleetv1.Word{Word: &fleetv1.Word_Sought{Sought: s.directory.Answer(c.Seek)}}, from)
+	}
+}
+
+// greeted takes in a greeting and answers it.
+func (s *Sidecar) greeted(from string, hello *fleetv1.Hello) {
 	s.mu.Lock()
 	e := s.entries[from]
 	if e == nil {
@@ -41,7 +56,7 @@
 		s.speed = hello.GetSpeed()
 	}
 	states := s.answer(from, hello)
-	states[0].Ask = hello.GetAsk()
+	states[0].Ask, states[0].Found = hello.GetAsk(), s.held.Find(hello.GetSalts(), hello.GetParts())
 	if hello.GetAsks() {
 		states[0].Speed = s.speed
 	}
@@ -151,7 +166,11 @@
 
 // tell sends the state; one that is lost is made up for by the next.
 func (s *Sidecar) tell(state *fleetv1.State, to string) {
-	if err := s.socket.Send(to, &fleetv1.Word{Word: &fleetv1.Word_State{State: state}}); err != nil {
+	s.say(&fleetv1.Word{Word: &fleetv1.Word_State{State: state}}, to)
+}
+
+func (s *Sidecar) say(word *fleetv1.Word, to string) {
+	if err := s.socket.Send(to, word); err != nil {
 		s.trail.Metrics().Add("state_send_failures_total", 1)
 	}
 }
--- a/internal/relay/mtfront/ask.go
+++ b/internal/relay/mtfront/ask.go
@@ -14,35 +14,34 @@
 	// askMost is how many sidecars are asked at once: of four engines that look alike
 	// the best is seldom a bad one.
 	askMost = 4
+	// holdersMost is how many holders that were found are asked beside them.
+	holdersMost = 3
 	// askRounds is how often the next best are asked where those asked first turn out
-	// to be busy.
+	// to be busy, or other holders were found.
 	askRounds = 2
 	// answerTime bounds the wait for their answers: the way to another data centre and
 	// back, and little beside the time in which a prompt is read.
 	answerTime = 4 * time.Millisecond
 )
 
-// questions are those to sidecars that wait for their answers. The zero value is
-// ready for use.
+// questions are those that wait for their answers. The zero value is ready for use.
 type questions struct {
 	mu   sync.Mutex
 	last uint64
 	open map[uint64]*question
 }
 
-// question is one to some sidecars.
+// question is one to some processes about one request.
 type question struct {
-	// open are the targets whose sidecars have not answered.
+	query *mtboard.Query
+	salts []string
+	// open are the targets whose sidecars have not answered, and the keepers.
 	open map[string]bool
 	done chan struct{}
 }
 
 // begin opens a question.
-func (q *questions) begin(targets []*fleetv1.Target) (uint64, *question) {
-	asked := &question{open: map[string]bool{}, done: make(chan struct{})}
-	for _, target := range targets {
-		asked.open[target.GetId()] = true
-	}
+func (q *questions) begin(asked *question) uint64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.open == nil {
@@ -50,18 +49,27 @@
 	}
 	q.last++
 	q.open[q.last] = asked
-	return q.last, asked
+	return q.last
 }
 
-// answer takes in that a sidecar has answered.
-func (q *questions) answer(number uint64, target string) {
+// find returns the question that one of those asked answers; nil where nobody waits.
+func (q *questions) find(number uint64, who string) *question {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	asked := q.open[number]
-	if asked == nil || !asked.open[target] {
+	if asked := q.open[number]; asked != nil && asked.open[who] {
+		return asked
+	}
+	return nil
+}
+
+// answered notes that one of those asked has answered.
+func (q *questions) answered(asked *question, who string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !asked.open[who] {
 		return
 	}
-	delete(asked.open, target)
+	delete(asked.open, who)
 	if len(asked.open) == 0 {
 		close(asked.done)
 	}
@@ -76,25 +84,53 @@
 	return asked.open
 }
 
-// consult brings what is known of the best targets up to this moment.
+// consult brings what is known of the best targets, and of who holds the prompt's shared
+// parts, up to this moment.
 func (f *Front) consult(ctx context.Context, query *mtboard.Query) {
+	var seek []address
+	if f.board.Seeks(query) {
+		seek = f.keepers(query)
+	}
 	for range askRounds {
 		targets := f.board.Doubtful(query, askMost)
-		if len(targets) == 0 {
+		for _, holder := range f.board.Holders(query, holdersMost) {
+			if !contains(targets, holder) {
+				targets = append(targets, holder)
+			}
+		}
+		if len(targets) == 0 && len(seek) == 0 {
 			return
 		}
-		for target := range f.askAll(ctx, targets) {
-			f.board.Silent(query, target)
+		f.askAll(ctx, query, targets, seek)
+		seek = nil
+	}
+}
+
+func contains(list []*fleetv1.Target, target *fleetv1.Target) bool {
+	for _, other := range list {
+		if other.GetId() == target.GetId() {
+			return true
 		}
 	}
+	return false
 }
 
-// askAll asks the sidecars of some targets, and returns those who have not answered
-// in time.
-func (f *Front) askAll(ctx context.Context, targets []*fleetv1.Target) map[string]bool {
-	number, asked := f.questions.begin(targets)
+// askAll asks the sidecars of some targets, and some keepers, and waits for their answers
+// for a moment.
+func (f *Front) askAll(ctx context.Context, query *mtboard.Query, targets []*fleetv1.Target, seek []address) {
+	asked := &question{query: query, salts: f.board.Salts(query), open: map[string]bool{}, done: make(chan struct{})}
+	for _, target := range targets {
+		asked.open[target.GetId()] = true
+	}
+	for _, k := range seek {
+		asked.open[k.name()] = true
+	}
+	number := f.questions.begin(asked)
+	for _, k := range seek {
+		k.send(f, &fleetv1.Seek{Ask: number, Salts: asked.salts, Part: mtboard.Home(query.Ask())})
+	}
 	for _, target := range targets {
-		hello := &fleetv1.Hello{Entry: f.site.GetName(), Target: target.GetId(), Ask: number}
+		hello := &fleetv1.Hello{Entry: f.site.GetName(), Target: target.GetId(), Ask: number, Salts: asked.salts, Parts: query.Parts()}
 		f.board.Fill(hello)
 		f.hello(mtports.SidecarWords.At(f.site, target.GetAddress()), hello)
 	}
@@ -108,5 +144,34 @@
 	}
 	silent := f.questions.end(number)
 	f.trail.Metrics().Add("sidecars_silent_total", int64(len(silent)))
-	return silent
+	for _, target := range targets {
+		if silent[target.GetId()] {
+			f.board.Silent(query, target.GetId())
+		}
+	}
+	for _, k := range seek {
+		if b, ok := k.(beside); ok && silent[k.name()] {
+			f.board.Silent(query, b.target.GetId())
+		}
+	}
+}
+
+// answer takes in a sidecar's answer to a question.
+func (f *Front) answer(state *fleetv1.State) {
+	asked := f.questions.find(state.GetAsk(), state.GetTarget())
+	if asked == nil {
+		return
+	}
+	f.board.Answered(asked.query, state.GetTarget(), asked.salts, state.GetFound())
+	f.questions.answered(asked, state.GetTarget())
+}
+
+// sought takes in the answer of a keeper, by where it takes datagrams.
+func (f *Front) sought(from string, sought *fleetv1.Sought) {
+	asked := f.questions.find(sought.GetAsk(), from)
+	if asked == nil {
+		return
+	}
+	f.board.Sought(asked.query, sought.GetHolders())
+	f.questions.answered(asked, from)
 }
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -22,6 +22,7 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtmetric"
 	"github.com/mustardtide/mustardtide/internal/observe/mttrail"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
+	"github.com/mustardtide/mustardtide/internal/placement/mtdirectory"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 	"github.com/mustardtide/mustardtide/internal/request/mtquarantine"
@@ -50,6 +51,9 @@
 
 	peers     peers
 	questions questions
+	// directory is the entry's share of who holds which parts, where there are no
+	// sidecars.
+	directory *mtdirectory.Directory
 	catalog   atomic.Pointer[mtcatalog.Catalog]
 	// closing is set once the entry is told to stop.
 	closing atomic.Pointer[mtclosing.Closing]
@@ -90,6 +94,7 @@
 		network:    network,
 		socket:     socket,
 		trail:      trail,
+		directory:  mtdirectory.New(),
 		board:      mtboard.New(site.GetDatacentre(), site.GetBounds().GetWeights().AsDuration()),
 		roster:     mtroster.New(),
 		wake:       make(chan struct{}, 1),
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -125,8 +125,13 @@
 // hello sends one; a lost one is made up for by the next.
 func (f *Front) hello(to string, hello *fleetv1.Hello) {
 	f.stands.fill(hello)
-	if err := f.socket.Send(to, hello); err != nil {
-		f.trail.Metrics().Add("hello_send_failures_total", 1)
+	f.send(to, &fleetv1.Call{Call: &fleetv1.Call_Hello{Hello: hello}})
+}
+
+// send sends one datagram.
+func (f *Front) send(to string, message proto.Message) {
+	if err := f.socket.Send(to, message); err != nil {
+		f.trail.Metrics().Add("word_send_failures_total", 1)
 	}
 }
 
@@ -141,9 +146,13 @@
 	case *fleetv1.Word_State:
 		f.hearState(from, w.State)
 	case *fleetv1.Word_Notice:
-		f.board.Notice(w.Notice)
+		f.directory.Take(w.Notice)
 	case *fleetv1.Word_Digest:
 		f.hearDigest(from, w.Digest)
+	case *fleetv1.Word_Seek:
+		f.send(from, &fleetv1.Word{Word: &fleetv1.Word_Sought{Sought: f.directory.Answer(w.Seek)}})
+	case *fleetv1.Word_Sought:
+		f.sought(from, w.Sought)
 	}
 }
 
@@ -151,7 +160,7 @@
 func (f *Front) hearState(from string, state *fleetv1.State) {
 	f.board.Hear(state)
 	if state.GetAsk() != 0 {
-		f.questions.answer(state.GetAsk(), state.GetTarget())
+		f.answer(state)
 	}
 	f.peers.see(state.GetPeers(), f.socket.Address())
 	if state.GetMore() {
--- /dev/null
+++ b/internal/relay/mtfront/host.go
@@ -0,0 +1,63 @@
+package mtfront
+
+import (
+	"context"
+	"time"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/relay/mtcustody"
+)
+
+// Named implements mtstandby.Host.
+func (s *stands) Named() []*fleetv1.Weights { return s.front.board.Named() }
+
+// Turn implements mtstandby.Host.
+func (s *stands) Turn(target string) *fleetv1.Turn {
+	listed := s.front.roster.View().Target(target)
+	service := s.front.catalog.Load().Service(listed.GetService())
+	if service == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.arranged) > standTime/2 {
+		s.arranged = time.Now()
+		clear(s.queues)
+	}
+	if s.queues[service.GetName()] == nil {
+		s.queues[service.GetName()] = s.front.board.Queues(service)
+	}
+	return s.queues[service.GetName()].Of(listed)
+}
+
+// May implements mtstandby.Host.
+func (s *stands) May(target string) bool {
+	address := s.address(target)
+	if s.front.board.Spoke(address) < spokeTime {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.custody.May(address)
+}
+
+// Fence implements mtstandby.Host.
+func (s *stands) Fence(ctx context.Context, target string) int64 {
+	address := s.address(target)
+	renew := func() mtcustody.Step { return s.custody.Renew(address) }
+	if !s.May(target) || !s.write(ctx, renew) {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.custody.Fence(address)
+}
+
+// Hear implements mtstandby.Host.
+func (s *stands) Hear(state *fleetv1.State, news bool) {
+	f := s.front
+	f.board.Hear(state)
+	if news {
+		f.peers.tell(f.socket, &fleetv1.Word{Word: &fleetv1.Word_State{State: state}}, maxPeers)
+	}
+}
--- /dev/null
+++ b/internal/relay/mtfront/keeper.go
@@ -0,0 +1,64 @@
+package mtfront
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
+	"github.com/mustardtide/mustardtide/internal/relay/mtports"
+)
+
+// address is a process that keeps the holders of some parts: a sidecar, or an entry where
+// there are none.
+type address interface {
+	// name is where it takes datagrams.
+	name() string
+	send(f *Front, message proto.Message)
+}
+
+// beside is a sidecar.
+type beside struct {
+	target *fleetv1.Target
+	words  string
+}
+
+func (a beside) name() string { return a.words }
+
+func (a beside) send(f *Front, message proto.Message) {
+	call := &fleetv1.Call{}
+	switch m := message.(type) {
+	case *fleetv1.Seek:
+		call.Call = &fleetv1.Call_Seek{Seek: m}
+	case *fleetv1.Notice:
+		call.Call = &fleetv1.Call_Notice{Notice: m}
+	}
+	f.send(a.words, call)
+}
+
+// fellow is another entry, or this one.
+type fellow struct{ words string }
+
+func (a fellow) name() string { return a.words }
+
+func (a fellow) send(f *Front, message proto.Message) {
+	word := &fleetv1.Word{}
+	switch m := message.(type) {
+	case *fleetv1.Seek:
+		word.Word = &fleetv1.Word_Seek{Seek: m}
+	case *fleetv1.Notice:
+		word.Word = &fleetv1.Word_Notice{Notice: m}
+	}
+	f.send(a.words, word)
+}
+
+// keepers are the processes that keep the holders of a prompt's deepest shared part.
+func (f *Front) keepers(query *mtboard.Query) []address {
+	var list []address
+	for _, target := range f.board.Keepers(query) {
+		list = append(list, beside{target, mtports.SidecarWords.At(f.site, target.GetAddress())})
+	}
+	if len(list) > 0 {
+		return list
+	}
+	return []address{fellow{f.peers.nearest(mtboard.Home(query.Ask()), f.socket.Address())}}
+}
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -21,6 +21,14 @@
 // Pause is how long changes may gather.
 func (s *follower) Pause() time.Duration { return s.front.gatherTime() }
 
+// Retry is the longest wait between calls while the store is away.
+func (s *follower) Retry() time.Duration {
+	if len(s.front.peers.reaching()) >= quick {
+		return heardRetry
+	}
+	return aloneRetry
+}
+
 // targets takes in the entries of targets.
 type targets struct{ follower }
 
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -40,6 +40,12 @@
 	// entry to which nobody speaks is in time too.
 	leastGather = 500 * time.Millisecond
 	mostGather  = 3 * time.Second
+	// aloneRetry is the longest wait between calls while the store is silent for all:
+	// short beside the two seconds in which a change must be in force. heardRetry is the
+	// same for an entry that it turns away while others hear it, and are heard: a third
+	// of a large fleet that is turned away made most of its calls.
+	aloneRetry = 400 * time.Millisecond
+	heardRetry = 2 * time.Second
 	// quick is how many entries look often: two, as one may be cut off.
 	quick = 2
 	// digestTime is how often entries tell each other how far they know.
@@ -134,7 +140,7 @@
 		}
 		digest.Custody, digest.Away = f.stands.version(), f.away.Load() > 0
 		if f.board.Entries() == 0 {
-			digest.Peers = f.peers.some(toldPeers)
+			digest.Peers = f.peers.fresh(toldPeers)
 		}
 		if closing := f.closing.Load(); closing != nil {
 			digest.Left = durationpb.New(max(0, closing.Left(time.Now())))
--- a/internal/relay/mtfront/peers.go
+++ b/internal/relay/mtfront/peers.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 )
@@ -18,8 +20,6 @@
 	peerTime = 5 * time.Second
 	// maxPeers bounds the entries that are known.
 	maxPeers = 1024
-	// noticePeers bounds the entries that are told what an engine reads.
-	noticePeers = 32
 )
 
 // peers are the other entries, as the sidecars name them and as they say
@@ -135,6 +135,31 @@
 	return len(p.known)
 }
 
+// nearest is the live entry, or this one, to which a part hashes: all agree on it.
+func (p *peers) nearest(part, own string) string {
+	best, score := own, xxh3.HashString(part+own)
+	for _, address := range p.list() {
+		if s := xxh3.HashString(part + address); s > score {
+			best, score = address, s
+		}
+	}
+	return best
+}
+
+// fresh draws at most so many of those that have spoken themselves of late. Entries that
+// named each other what they were told would keep one that is gone alive for ever.
+func (p *peers) fresh(most int) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []string
+	for address, other := range p.known {
+		if time.Since(other.spoke) < peerTime && len(list) < most {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 // tell sends a word to at most so many, drawn at random. A notice that is lost costs
 // a part read twice; a digest is made up for by the next.
 func (p *peers) tell(socket mtpulse.Socket, word *fleetv1.Word, most int) {
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -136,21 +136,23 @@
 	r.broke(choice)
 }
 
-// notify tells the other entries what the target reads, so that they neither
-// let another read it too nor miss whom to fetch it from.
+// notify tells the sidecar, and the keepers of the prompt's shared parts, what the
+// target reads, so that others neither let another read it too nor miss whom to fetch
+// it from.
 func (r *request) notify(choice *mtboard.Choice, read bool) {
 	if choice.Burdens() {
 		r.front.burden(choice.Target(), choice.Address())
 	}
-	parts, worth := choice.Reads()
-	if !worth {
+	if choice.Salt() == "" || !r.front.board.Seeks(r.query) || !read && choice.Holds() {
 		return
 	}
-	notice := &fleetv1.Notice{Target: choice.Target(), Salt: choice.Salt(), Parts: parts, Read: read}
+	notice := &fleetv1.Notice{Target: choice.Target(), Salt: choice.Salt(), Parts: choice.Deepest(), Read: read}
 	if read {
 		notice.Store = choice.Save()
 	}
-	r.front.peers.tell(r.front.socket, &fleetv1.Word{Word: &fleetv1.Word_Notice{Notice: notice}}, noticePeers)
+	for _, keeper := range r.front.keepers(r.query) {
+		keeper.send(r.front, notice)
+	}
 }
 
 // logSent names the target and why it was chosen.
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -39,6 +39,9 @@
 	body    []byte
 	uri     string
 
+	// query is what the request needs of a target.
+	query *mtboard.Query
+
 	begun time.Time
 	// first is the time to the first byte of the last answer.
 	first time.Duration
@@ -175,6 +178,7 @@
 	allowance := r.front.allowance(r.service.GetName())
 	allowance.Request()
 	query := mtboard.NewQuery(r.service, r.ask, r.account, r.front.catalog.Load().Cache(mtboard.Home(r.ask)), r.route.GetAim().AsDuration())
+	r.query = query
 	var last result = rejected{}
 	for r.mayTry(last) {
 		if r.tries > 0 && !allowance.Take(r.front.entries()) {
--- a/internal/relay/mtfront/stand.go
+++ b/internal/relay/mtfront/stand.go
@@ -11,13 +11,11 @@
 	"go.uber.org/zap"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
-	"github.com/mustardtide/mustardtide/internal/members/mtfollow"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/relay/mtcustody"
 	"github.com/mustardtide/mustardtide/internal/relay/mtprobe"
 	"github.com/mustardtide/mustardtide/internal/relay/mtstandby"
-	"github.com/mustardtide/mustardtide/platform/mtobjects"
 )
 
 const (
@@ -29,6 +27,8 @@
 	// its restart and the greetings of a large fleet, as an engine that is taken needs
 	// none of its orders for seconds.
 	goneTime = 5 * time.Second
+	// doubtTime is how long it must not have spoken to be greeted at each look.
+	doubtTime = 3 * time.Second
 	// holderTime is how long after its last word another holder counts as live: two of
 	// its words to all.
 	holderTime = 2500 * time.Millisecond
@@ -89,130 +89,6 @@
 	return ctx.Err()
 }
 
-// follow keeps the custody in step with the store where this entry is one of those that
-// look often; the others hear from these. An entry that is cut off from the others may
-// take engines, and only the store tells: without this the others would go on to let
-// those engines' sidecars order.
-func (s *stands) follow(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if s.front.looksOften() {
-			s.followWhile(ctx)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(roleTime):
-		}
-	}
-	return ctx.Err()
-}
-
-// followWhile follows the custody until other entries look often.
-func (s *stands) followWhile(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	end := make(chan error, 1)
-	go func() { end <- mtfollow.Follow(ctx, s.front.store.Custodies(), &custodies{follower{s.front}}) }()
-	for {
-		select {
-		case err := <-end:
-			if err != nil && !errors.Is(err, context.Canceled) {
-				s.front.trail.Warn(mtkind.StoreLost, zap.String("kind", "custody"), zap.Error(err))
-			}
-			return
-		case <-time.After(roleTime):
-			if !s.front.looksOften() {
-				cancel()
-			}
-		}
-	}
-}
-
-// custodies takes in the fleet's custody.
-type custodies struct{ follower }
-
-// Replace gets the custody, if there is one.
-func (s *custodies) Replace(list []mtobjects.Change[*fleetv1.Custody], revision int64) {
-	if len(list) == 0 {
-		s.front.stands.adopt(&fleetv1.Custody{}, "store")
-	}
-	s.Changes(list, revision)
-}
-
-// Changes gets new versions. One that is gone or unreadable changes nothing.
-func (s *custodies) Changes(changes []mtobjects.Change[*fleetv1.Custody], _ int64) {
-	for _, change := range changes {
-		if !change.Gone() {
-			s.front.stands.adopt(change.Value(), "store")
-		}
-	}
-}
-
-// Wait lets a watch wait long also where others look often: it stands in for words
-// between the entries, which come within a second.
-func (s *custodies) Wait() time.Duration { return slowWatch }
-
-// Away keeps what is known.
-func (s *custodies) Away(err error) { s.front.lost("custody", err) }
-
-// Back says that the store answers.
-func (s *custodies) Back() { s.front.back("custody") }
-
-func (s *stands) known() *fleetv1.Custody {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.custody.Known()
-}
-
-// holds says that this entry is the holder.
-func (s *stands) holds() bool { return s.known().GetHolder() == s.front.site.GetName() }
-
-// version is one more than that of the custody that is known; 0 for none.
-func (s *stands) version() int64 {
-	if known := s.known(); known != nil {
-		return known.GetVersion() + 1
-	}
-	return 0
-}
-
-// adopt takes over what the store or another entry says.
-func (s *stands) adopt(custody *fleetv1.Custody, source string) {
-	if custody == nil {
-		return
-	}
-	s.mu.Lock()
-	news := s.custody.Learn(custody)
-	s.mu.Unlock()
-	if custody.GetAddress() != "" {
-		s.front.peers.see([]string{custody.GetAddress()}, s.front.socket.Address())
-	}
-	if news {
-		s.told(custody, source)
-	}
-}
-
-// told logs a new version and passes it on.
-func (s *stands) told(custody *fleetv1.Custody, source string) {
-	taken := 0
-	for _, charge := range custody.GetCharges() {
-		if charge.GetTaken() {
-			taken++
-		}
-	}
-	s.front.trail.Say(mtkind.CustodyKnown, zap.String("holder", custody.GetHolder()), zap.Int64("version", custody.GetVersion()),
-		zap.Int("taken", taken), zap.Int("engines", len(custody.GetCharges())), zap.String("from", source))
-	s.front.digest()
-}
-
-// fill says in a hello who gives the engine its orders.
-func (s *stands) fill(hello *fleetv1.Hello) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if known := s.custody.Known(); known != nil {
-		charge := s.custody.Charge(s.address(hello.GetTarget()))
-		hello.Custody, hello.Taken, hello.Fence = known.GetVersion()+1, charge.GetTaken(), charge.GetFence()
-	}
-}
-
 // address is a target's; empty where it is not listed.
 func (s *stands) address(target string) string {
 	return s.front.roster.View().Target(target).GetAddress()
@@ -221,6 +97,9 @@
 // next takes engines, or gives them back.
 func (s *stands) next(ctx context.Context) {
 	v := s.view()
+	if v.First {
+		s.doubt()
+	}
 	s.mu.Lock()
 	step := s.custody.Next(v)
 	s.mu.Unlock()
@@ -233,13 +112,32 @@
 	}
 }
 
+// doubt greets the sidecars that have not spoken for a while: in a large fleet those of
+// other data centres are greeted seldom, and a few datagrams that were lost must not
+// take their engines from them.
+func (s *stands) doubt() {
+	f := s.front
+	for _, target := range f.board.Unattended(doubtTime) {
+		s.mu.Lock()
+		taken := s.custody.Charge(target.GetAddress()).GetTaken()
+		s.mu.Unlock()
+		if !taken {
+			f.burden(target.GetId(), target.GetAddress())
+		}
+	}
+}
+
 // view is what the entry sees of sidecars and other entries.
 func (s *stands) view() *mtcustody.View {
 	f := s.front
 	live := f.peers.heard(holderTime)
 	listed := f.roster.View()
+	var gone []string
+	for _, target := range f.board.Unattended(goneTime) {
+		gone = append(gone, target.GetAddress())
+	}
 	return &mtcustody.View{
-		Gone:   f.board.Unattended(goneTime),
+		Gone:   gone,
 		Heard:  func(address string) bool { return f.board.Spoke(address) < spokeTime },
 		Listed: listed.Listed,
 		First:  f.away.Load() == 0 && f.closing.Load() == nil && f.before(f.peers.serving()) == 0,
@@ -334,57 +232,3 @@
 		s.front.trail.Warn(mtkind.EngineReturned, zap.String("target", id), zap.Error(err))
 	}
 }
-
-// Named implements mtstandby.Host.
-func (s *stands) Named() []*fleetv1.Weights { return s.front.board.Named() }
-
-// Turn implements mtstandby.Host.
-func (s *stands) Turn(target string) *fleetv1.Turn {
-	listed := s.front.roster.View().Target(target)
-	service := s.front.catalog.Load().Service(listed.GetService())
-	if service == nil {
-		return nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if time.Since(s.arranged) > standTime/2 {
-		s.arranged = time.Now()
-		clear(s.queues)
-	}
-	if s.queues[service.GetName()] == nil {
-		s.queues[service.GetName()] = s.front.board.Queues(service)
-	}
-	return s.queues[service.GetName()].Of(listed)
-}
-
-// May implements mtstandby.Host.
-func (s *stands) May(target string) bool {
-	address := s.address(target)
-	if s.front.board.Spoke(address) < spokeTime {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.custody.May(address)
-}
-
-// Fence implements mtstandby.Host.
-func (s *stands) Fence(ctx context.Context, target string) int64 {
-	address := s.address(target)
-	renew := func() mtcustody.Step { return s.custody.Renew(address) }
-	if !s.May(target) || !s.write(ctx, renew) {
-		return 0
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.custody.Fence(address)
-}
-
-// Hear implements mtstandby.Host.
-func (s *stands) Hear(state *fleetv1.State, news bool) {
-	f := s.front
-	f.board.Hear(state)
-	if news {
-		f.peers.tell(f.socket, &fleetv1.Word{Word: &fleetv1.Word_State{State: state}}, maxPeers)
-	}
-}
