--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -18,9 +18,11 @@
 	"github.com/mustardtide/mustardtide/internal/placement/mtdirectory"
 	"github.com/mustardtide/mustardtide/internal/prefix/mtheld"
 	"github.com/mustardtide/mustardtide/internal/relay/mtgate"
+	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 	"github.com/mustardtide/mustardtide/internal/relay/mtprobe"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 	"github.com/mustardtide/mustardtide/internal/relay/mtrollout"
+	"github.com/mustardtide/mustardtide/internal/relay/mtwords"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/platform/mtobjects"
 )
@@ -47,6 +49,7 @@
 type Sidecar struct {
 	site   *fleetv1.Site
 	socket mtpulse.Socket
+	words  *mtwords.Words
 	store  *mtobjects.Client
 	trail  *mttrail.Trail
 	engine *mtprobe.Probe
@@ -77,6 +80,7 @@
 	return &Sidecar{
 		site:      site,
 		socket:    socket,
+		words:     mtwords.New(socket, trail.Metrics()),
 		store:     mtobjects.New(site.GetStore(), network.Outside()),
 		trail:     trail,
 		engine:    mtprobe.New(site.GetTarget(), network.Dial),
@@ -161,7 +165,7 @@
 	}
 	var charge *fleetv1.Charge
 	for _, c := range custody.GetCharges() {
-		if c.GetAddress() == s.site.GetTarget() {
+		if mtports.Host(c.GetAddress()) == s.site.GetAddress() {
 			charge = c
 		}
 	}
--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -26,7 +26,7 @@
 	case *fleetv1.Call_Notice:
 		s.directory.Take(c.Notice)
 	case *fleetv1.Call_Seek:
-		s.say(&fleetv1.Word{Word: &fleetv1.Word_Sought{Sought: s.directory.Answer(c.Seek)}}, from)
+		s.words.Send(from, &fleetv1.Word{Word: &fleetv1.Word_Sought{Sought: s.directory.Answer(c.Seek)}})
 	}
 }
 
@@ -166,11 +166,5 @@
 
 // tell sends the state; one that is lost is made up for by the next.
 func (s *Sidecar) tell(state *fleetv1.State, to string) {
-	s.say(&fleetv1.Word{Word: &fleetv1.Word_State{State: state}}, to)
-}
-
-func (s *Sidecar) say(word *fleetv1.Word, to string) {
-	if err := s.socket.Send(to, word); err != nil {
-		s.trail.Metrics().Add("state_send_failures_total", 1)
-	}
+	s.words.Send(to, &fleetv1.Word{Word: &fleetv1.Word_State{State: state}})
 }
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -25,6 +25,7 @@
 	"github.com/mustardtide/mustardtide/internal/placement/mtdirectory"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
+	"github.com/mustardtide/mustardtide/internal/relay/mtwords"
 	"github.com/mustardtide/mustardtide/internal/request/mtquarantine"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
@@ -44,6 +45,7 @@
 	network *mtnet.Net
 	stands  *stands
 	socket  mtpulse.Socket
+	words   *mtwords.Words
 	trail   *mttrail.Trail
 	pool    *mtlink.Pool
 	board   *mtboard.Board
@@ -93,6 +95,7 @@
 		store:      mtobjects.New(site.GetStore(), network.Outside()),
 		network:    network,
 		socket:     socket,
+		words:      mtwords.New(socket, trail.Metrics()),
 		trail:      trail,
 		directory:  mtdirectory.New(),
 		board:      mtboard.New(site.GetDatacentre(), site.GetBounds().GetWeights().AsDuration()),
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -125,14 +125,7 @@
 // hello sends one; a lost one is made up for by the next.
 func (f *Front) hello(to string, hello *fleetv1.Hello) {
 	f.stands.fill(hello)
-	f.send(to, &fleetv1.Call{Call: &fleetv1.Call_Hello{Hello: hello}})
-}
-
-// send sends one datagram.
-func (f *Front) send(to string, message proto.Message) {
-	if err := f.socket.Send(to, message); err != nil {
-		f.trail.Metrics().Add("word_send_failures_total", 1)
-	}
+	f.words.Send(to, &fleetv1.Call{Call: &fleetv1.Call_Hello{Hello: hello}})
 }
 
 // hear takes in a datagram.
@@ -150,7 +143,7 @@
 	case *fleetv1.Word_Digest:
 		f.hearDigest(from, w.Digest)
 	case *fleetv1.Word_Seek:
-		f.send(from, &fleetv1.Word{Word: &fleetv1.Word_Sought{Sought: f.directory.Answer(w.Seek)}})
+		f.words.Send(from, &fleetv1.Word{Word: &fleetv1.Word_Sought{Sought: f.directory.Answer(w.Seek)}})
 	case *fleetv1.Word_Sought:
 		f.sought(from, w.Sought)
 	}
--- a/internal/relay/mtfront/keeper.go
+++ b/internal/relay/mtfront/keeper.go
@@ -32,7 +32,7 @@
 	case *fleetv1.Notice:
 		call.Call = &fleetv1.Call_Notice{Notice: m}
 	}
-	f.send(a.words, call)
+	f.words.Send(a.words, call)
 }
 
 // fellow is another entry, or this one.
@@ -48,7 +48,7 @@
 	case *fleetv1.Notice:
 		word.Word = &fleetv1.Word_Notice{Notice: m}
 	}
-	f.send(a.words, word)
+	f.words.Send(a.words, word)
 }
 
 // keepers are the processes that keep the holders of a prompt's deepest shared part.
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -145,7 +145,7 @@
 		if closing := f.closing.Load(); closing != nil {
 			digest.Left = durationpb.New(max(0, closing.Left(time.Now())))
 		}
-		f.peers.tell(f.socket, &fleetv1.Word{Word: &fleetv1.Word_Digest{Digest: digest}}, most)
+		f.peers.tell(f.words, &fleetv1.Word{Word: &fleetv1.Word_Digest{Digest: digest}}, most)
 	}
 	return ctx.Err()
 }
--- a/internal/relay/mtfront/peers.go
+++ b/internal/relay/mtfront/peers.go
@@ -10,7 +10,7 @@
 	"github.com/zeebo/xxh3"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
-	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
+	"github.com/mustardtide/mustardtide/internal/relay/mtwords"
 )
 
 const (
@@ -162,9 +162,9 @@
 
 // tell sends a word to at most so many, drawn at random. A notice that is lost costs
 // a part read twice; a digest is made up for by the next.
-func (p *peers) tell(socket mtpulse.Socket, word *fleetv1.Word, most int) {
+func (p *peers) tell(words *mtwords.Words, word *fleetv1.Word, most int) {
 	for _, address := range p.some(most) {
-		_ = socket.Send(address, word)
+		words.Send(address, word)
 	}
 }
 
--- a/internal/relay/mtpulse/socket.go
+++ b/internal/relay/mtpulse/socket.go
@@ -25,9 +25,9 @@
 type Socket interface {
 	// Address is where the socket is bound.
 	Address() string
-	// Send sends one message. A failure counts as a loss, which the next message
-	// makes up for.
-	Send(to string, message proto.Message) error
+	// Send sends one message and returns its size in bytes. A failure counts as a loss,
+	// which the next message makes up for.
+	Send(to string, message proto.Message) (int, error)
 	// Serve hands each datagram and its sender to take until ctx ends.
 	Serve(ctx context.Context, take func(from string, data []byte)) error
 }
@@ -53,17 +53,17 @@
 func (s *udp) Address() string { return s.conn.LocalAddr().String() }
 
 // Send encodes and sends one message.
-func (s *udp) Send(to string, message proto.Message) error {
+func (s *udp) Send(to string, message proto.Message) (int, error) {
 	address, err := netip.ParseAddrPort(to)
 	if err != nil {
-		return trace.BadParameter("%q is no IP:PORT", to)
+		return 0, trace.BadParameter("%q is no IP:PORT", to)
 	}
 	data, err := Encode(message)
 	if err != nil {
-		return trace.Wrap(err)
+		return 0, trace.Wrap(err)
 	}
-	_, err = s.conn.WriteToUDPAddrPort(data, address)
-	return trace.Wrap(err)
+	n, err := s.conn.WriteToUDPAddrPort(data, address)
+	return n, trace.Wrap(err)
 }
 
 // Encode returns a message's datagram, and an error where it is too long.
--- /dev/null
+++ b/internal/relay/mtwords/words.go
@@ -0,0 +1,87 @@
+// Package mtwords counts the datagrams that a process sends, by what they are. In a fleet
+// of hundreds most of its bytes are the processes' own words to each other, and only
+// their kinds say which of them grows.
+package mtwords
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/observe/mtmetric"
+	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
+)
+
+// Words sends through a socket. It is safe for concurrent use.
+type Words struct {
+	socket  mtpulse.Socket
+	metrics *mtmetric.Set
+}
+
+// New returns a sender whose counters are among some metrics.
+func New(socket mtpulse.Socket, metrics *mtmetric.Set) *Words {
+	return &Words{socket: socket, metrics: metrics}
+}
+
+// Send sends one message. A failure is counted, and made up for by the next message.
+func (w *Words) Send(to string, message proto.Message) {
+	n, err := w.socket.Send(to, message)
+	if err != nil {
+		w.metrics.Add("word_send_failures_total", 1)
+		return
+	}
+	label := `{kind="` + kind(message) + `"}`
+	w.metrics.Add("words_total"+label, 1)
+	w.metrics.Add("words_bytes_total"+label, int64(n))
+}
+
+// kind names what a message is.
+func kind(message proto.Message) string {
+	switch m := message.(type) {
+	case *fleetv1.Call:
+		return callKind(m)
+	case *fleetv1.Word:
+		return wordKind(m)
+	default:
+		return "other"
+	}
+}
+
+func callKind(call *fleetv1.Call) string {
+	switch c := call.GetCall().(type) {
+	case *fleetv1.Call_Hello:
+		switch {
+		case c.Hello.GetAsk() != 0:
+			return "ask"
+		case c.Hello.GetTurn() != nil:
+			return "hello"
+		default:
+			return "burden"
+		}
+	case *fleetv1.Call_Notice:
+		return "notice"
+	case *fleetv1.Call_Seek:
+		return "seek"
+	default:
+		return "other"
+	}
+}
+
+func wordKind(word *fleetv1.Word) string {
+	switch w := word.GetWord().(type) {
+	case *fleetv1.Word_State:
+		if len(w.State.GetChanges()) > 0 {
+			return "changes"
+		}
+		return "state"
+	case *fleetv1.Word_Notice:
+		return "notice"
+	case *fleetv1.Word_Digest:
+		return "digest"
+	case *fleetv1.Word_Seek:
+		return "seek"
+	case *fleetv1.Word_Sought:
+		return "sought"
+	default:
+		return "other"
+	}
+}
--- a/internal/standin/mtpost/post.go
+++ b/internal/standin/mtpost/post.go
@@ -63,10 +63,10 @@
 
 func (s *socket) Address() string { return s.address }
 
-func (s *socket) Send(to string, message proto.Message) error {
+func (s *socket) Send(to string, message proto.Message) (int, error) {
 	data, err := mtpulse.Encode(message)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	s.post.mu.Lock()
 	s.post.sent[s.address]++
@@ -74,13 +74,13 @@
 	lost := receiver == nil || s.post.cut[to] || s.post.cut[s.address]
 	s.post.mu.Unlock()
 	if lost {
-		return nil
+		return len(data), nil
 	}
 	select {
 	case receiver.waiting <- datagram{s.address, data}:
 	default:
 	}
-	return nil
+	return len(data), nil
 }
 
 func (s *socket) Serve(ctx context.Context, take func(from string, data []byte)) error {
