--- a/internal/command/mttable/fleet.go
+++ b/internal/command/mttable/fleet.go
@@ -38,8 +38,12 @@
 			s.GetStart().AsDuration().Round(time.Millisecond), s.GetRead().AsDuration().Round(100*time.Nanosecond),
 			s.GetAnswer().AsDuration().Round(time.Millisecond))
 	}
+	taken := map[string]bool{}
+	for _, charge := range known.GetCustody().GetCharges() {
+		taken[charge.GetAddress()] = charge.GetTaken()
+	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "TARGET\tSERVICE\tADDRESS\tDATA CENTRE\tSTATE\tWEIGHTS")
+	fmt.Fprintln(table, "TARGET\tSERVICE\tADDRESS\tDATA CENTRE\tSTATE\tWEIGHTS\tORDERS")
 	targets := known.GetTargets()
 	slices.SortFunc(targets, func(a, b *fleetv1.Target) int {
 		return strings.Compare(a.GetService()+"/"+a.GetId(), b.GetService()+"/"+b.GetId())
@@ -53,7 +57,20 @@
 		for _, m := range t.GetModels() {
 			weights = append(weights, fmt.Sprintf("%s@%d", m.GetModel(), m.GetVersion()))
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", t.GetId(), t.GetService(), t.GetAddress(), t.GetDatacentre(), state, strings.Join(weights, " "))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", t.GetId(), t.GetService(), t.GetAddress(), t.GetDatacentre(), state,
+			strings.Join(weights, " "), orders(t, taken, known.GetCustody().GetHolder()))
 	}
 	return trace.Wrap(table.Flush())
 }
+
+// orders names who gives a target its orders: its sidecar, or the entry that has taken it.
+func orders(target *fleetv1.Target, taken map[string]bool, holder string) string {
+	switch {
+	case len(target.GetModels()) == 0:
+		return "-"
+	case taken[target.GetAddress()]:
+		return holder
+	default:
+		return "sidecar"
+	}
+}
