--- a/internal/relay/mtfront/ask.go
+++ b/internal/relay/mtfront/ask.go
@@ -87,7 +87,7 @@
 // consult brings what is known of the best targets, and of who holds the prompt's shared
 // parts, up to this moment.
 func (f *Front) consult(ctx context.Context, query *mtboard.Query) {
-	var seek []address
+	var seek []keeper
 	if f.board.Seeks(query) {
 		seek = f.keepers(query)
 	}
@@ -117,7 +117,7 @@
 
 // askAll asks the sidecars of some targets, and some keepers, and waits for their answers
 // for a moment.
-func (f *Front) askAll(ctx context.Context, query *mtboard.Query, targets []*fleetv1.Target, seek []address) {
+func (f *Front) askAll(ctx context.Context, query *mtboard.Query, targets []*fleetv1.Target, seek []keeper) {
 	asked := &question{query: query, salts: f.board.Salts(query), open: map[string]bool{}, done: make(chan struct{})}
 	for _, target := range targets {
 		asked.open[target.GetId()] = true
@@ -150,7 +150,7 @@
 		}
 	}
 	for _, k := range seek {
-		if b, ok := k.(beside); ok && silent[k.name()] {
+		if b, ok := k.(sidecarKeeper); ok && silent[k.name()] {
 			f.board.Silent(query, b.target.GetId())
 		}
 	}
--- a/internal/relay/mtfront/custody.go
+++ b/internal/relay/mtfront/custody.go
@@ -17,7 +17,7 @@
 // look often; the others hear from these. An entry that is cut off from the others may
 // take engines, and only the store tells: without this the others would go on to let
 // those engines' sidecars order.
-func (s *stands) follow(ctx context.Context) error {
+func (s *standbys) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if s.front.looksOften() {
 			s.followWhile(ctx)
@@ -31,7 +31,7 @@
 }
 
 // followWhile follows the custody until other entries look often.
-func (s *stands) followWhile(ctx context.Context) {
+func (s *standbys) followWhile(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sink := &custodies{follower: follower{s.front}}
@@ -66,7 +66,7 @@
 // Replace gets the custody, if there is one.
 func (s *custodies) Replace(list []mtobjects.Change[*fleetv1.Custody], revision int64) {
 	if len(list) == 0 {
-		s.front.stands.adopt(&fleetv1.Custody{}, "store")
+		s.front.standbys.adopt(&fleetv1.Custody{}, "store")
 	}
 	s.Changes(list, revision)
 }
@@ -75,12 +75,12 @@
 func (s *custodies) Changes(changes []mtobjects.Change[*fleetv1.Custody], _ int64) {
 	for _, change := range changes {
 		if !change.Gone() {
-			s.front.stands.adopt(change.Value(), "store")
+			s.front.standbys.adopt(change.Value(), "store")
 		}
 	}
 }
 
-// Wait lets a watch wait long also where others look often: it stands in for words
+// Wait lets a watch wait long also where others look often: it standbys in for words
 // between the entries, which come within a second.
 func (s *custodies) Wait() time.Duration { return slowWatch }
 
@@ -96,17 +96,17 @@
 	s.front.back("custody")
 }
 
-func (s *stands) known() *fleetv1.Custody {
+func (s *standbys) known() *fleetv1.Custody {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.custody.Known()
 }
 
 // holds says that this entry is the holder.
-func (s *stands) holds() bool { return s.known().GetHolder() == s.front.site.GetName() }
+func (s *standbys) holds() bool { return s.known().GetHolder() == s.front.site.GetName() }
 
 // version is one more than that of the custody that is known; 0 for none.
-func (s *stands) version() int64 {
+func (s *standbys) version() int64 {
 	if known := s.known(); known != nil {
 		return known.GetVersion() + 1
 	}
@@ -114,7 +114,7 @@
 }
 
 // adopt takes over what the store or another entry says.
-func (s *stands) adopt(custody *fleetv1.Custody, source string) {
+func (s *standbys) adopt(custody *fleetv1.Custody, source string) {
 	if custody == nil {
 		return
 	}
@@ -130,7 +130,7 @@
 }
 
 // told logs a new version and passes it on.
-func (s *stands) told(custody *fleetv1.Custody, source string) {
+func (s *standbys) told(custody *fleetv1.Custody, source string) {
 	taken := 0
 	for _, charge := range custody.GetCharges() {
 		if charge.GetTaken() {
@@ -143,7 +143,7 @@
 }
 
 // fill says in a hello who gives the engine its orders.
-func (s *stands) fill(hello *fleetv1.Hello) {
+func (s *standbys) fill(hello *fleetv1.Hello) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if known := s.custody.Known(); known != nil {
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -39,17 +39,17 @@
 
 // Front is the entry's state.
 type Front struct {
-	begun   time.Time
-	site    *fleetv1.Site
-	store   *mtobjects.Client
-	network *mtnet.Net
-	stands  *stands
-	socket  mtpulse.Socket
-	words   *mtwords.Words
-	trail   *mttrail.Trail
-	pool    *mtlink.Pool
-	board   *mtboard.Board
-	roster  *mtroster.Roster
+	begun    time.Time
+	site     *fleetv1.Site
+	store    *mtobjects.Client
+	network  *mtnet.Net
+	standbys *standbys
+	socket   mtpulse.Socket
+	words    *mtwords.Words
+	trail    *mttrail.Trail
+	pool     *mtlink.Pool
+	board    *mtboard.Board
+	roster   *mtroster.Roster
 
 	peers     peers
 	questions questions
@@ -108,7 +108,7 @@
 		asker:      &http.Client{Transport: network.Outside(), Timeout: askTime},
 		allowances: map[string]*mtallowance.Allowance{},
 	}
-	f.stands = newStands(f)
+	f.standbys = newStandbys(f)
 	f.gauges()
 	dials := trail.Metrics().Counter("target_connections_total")
 	f.pool = mtlink.NewPool(network.Dial, func() { dials.Inc(1) })
@@ -147,8 +147,8 @@
 		f.sweep,
 		f.spreadAll,
 		f.learnAll,
-		f.stands.run,
-		f.stands.follow,
+		f.standbys.run,
+		f.standbys.follow,
 	}
 	ends := make(chan error, len(tasks))
 	for _, task := range tasks {
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -63,7 +63,7 @@
 	near, far := f.engines(service)
 	queues := f.board.Queues(service)
 	if !woken || !queues.Whole() {
-		far = turnOf(far, round, farEach(len(near), len(far)))
+		far = partOf(far, round, roundsFor(len(near), len(far)))
 	}
 	speed := f.board.Speed(service.GetName())
 	named := f.board.Named()
@@ -101,15 +101,15 @@
 	return near, far
 }
 
-// farEach is in how many rounds all engines of other data centres are greeted.
-func farEach(near, far int) int {
+// roundsFor is in how many rounds all engines of other data centres are greeted.
+func roundsFor(near, far int) int {
 	part := max(near, greetRate/farRounds)
 	return max(farRounds, (far+part-1)/part)
 }
 
-// turnOf returns the part of a list that one round greets, where so many rounds
+// partOf returns the part of a list that one round greets, where so many rounds
 // greet all.
-func turnOf(list []*fleetv1.Target, round, rounds int) []*fleetv1.Target {
+func partOf(list []*fleetv1.Target, round, rounds int) []*fleetv1.Target {
 	part := round % rounds
 	return list[len(list)*part/rounds : len(list)*(part+1)/rounds]
 }
@@ -124,7 +124,7 @@
 
 // hello sends one; a lost one is made up for by the next.
 func (f *Front) hello(to string, hello *fleetv1.Hello) {
-	f.stands.fill(hello)
+	f.standbys.fill(hello)
 	f.words.Send(to, &fleetv1.Call{Call: &fleetv1.Call_Hello{Hello: hello}})
 }
 
--- a/internal/relay/mtfront/host.go
+++ b/internal/relay/mtfront/host.go
@@ -9,10 +9,10 @@
 )
 
 // Named implements mtstandby.Host.
-func (s *stands) Named() []*fleetv1.Weights { return s.front.board.Named() }
+func (s *standbys) Named() []*fleetv1.Weights { return s.front.board.Named() }
 
 // Turn implements mtstandby.Host.
-func (s *stands) Turn(target string) *fleetv1.Turn {
+func (s *standbys) Turn(target string) *fleetv1.Turn {
 	listed := s.front.roster.View().Target(target)
 	service := s.front.catalog.Load().Service(listed.GetService())
 	if service == nil {
@@ -20,7 +20,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Since(s.arranged) > standTime/2 {
+	if time.Since(s.arranged) > standbyTime/2 {
 		s.arranged = time.Now()
 		clear(s.queues)
 	}
@@ -31,7 +31,7 @@
 }
 
 // May implements mtstandby.Host.
-func (s *stands) May(target string) bool {
+func (s *standbys) May(target string) bool {
 	address := s.address(target)
 	if s.front.board.Spoke(address) < spokeTime {
 		return false
@@ -42,7 +42,7 @@
 }
 
 // Fence implements mtstandby.Host.
-func (s *stands) Fence(ctx context.Context, target string) int64 {
+func (s *standbys) Fence(ctx context.Context, target string) int64 {
 	address := s.address(target)
 	renew := func() mtcustody.Step { return s.custody.Renew(address) }
 	if !s.May(target) || !s.write(ctx, renew) {
@@ -54,7 +54,7 @@
 }
 
 // Hear implements mtstandby.Host.
-func (s *stands) Hear(state *fleetv1.State, news bool) {
+func (s *standbys) Hear(state *fleetv1.State, news bool) {
 	f := s.front
 	f.board.Hear(state)
 	if news {
--- a/internal/relay/mtfront/keeper.go
+++ b/internal/relay/mtfront/keeper.go
@@ -8,23 +8,23 @@
 	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 )
 
-// address is a process that keeps the holders of some parts: a sidecar, or an entry where
+// keeper is a process that keeps the holders of some parts: a sidecar, or an entry where
 // there are none.
-type address interface {
+type keeper interface {
 	// name is where it takes datagrams.
 	name() string
 	send(f *Front, message proto.Message)
 }
 
-// beside is a sidecar.
-type beside struct {
+// sidecarKeeper is a sidecar.
+type sidecarKeeper struct {
 	target *fleetv1.Target
 	words  string
 }
 
-func (a beside) name() string { return a.words }
+func (k sidecarKeeper) name() string { return k.words }
 
-func (a beside) send(f *Front, message proto.Message) {
+func (k sidecarKeeper) send(f *Front, message proto.Message) {
 	call := &fleetv1.Call{}
 	switch m := message.(type) {
 	case *fleetv1.Seek:
@@ -32,15 +32,15 @@
 	case *fleetv1.Notice:
 		call.Call = &fleetv1.Call_Notice{Notice: m}
 	}
-	f.words.Send(a.words, call)
+	f.words.Send(k.words, call)
 }
 
-// fellow is another entry, or this one.
-type fellow struct{ words string }
+// entryKeeper is another entry, or this one.
+type entryKeeper struct{ words string }
 
-func (a fellow) name() string { return a.words }
+func (k entryKeeper) name() string { return k.words }
 
-func (a fellow) send(f *Front, message proto.Message) {
+func (k entryKeeper) send(f *Front, message proto.Message) {
 	word := &fleetv1.Word{}
 	switch m := message.(type) {
 	case *fleetv1.Seek:
@@ -48,17 +48,17 @@
 	case *fleetv1.Notice:
 		word.Word = &fleetv1.Word_Notice{Notice: m}
 	}
-	f.words.Send(a.words, word)
+	f.words.Send(k.words, word)
 }
 
 // keepers are the processes that keep the holders of a prompt's deepest shared part.
-func (f *Front) keepers(query *mtboard.Query) []address {
-	var list []address
+func (f *Front) keepers(query *mtboard.Query) []keeper {
+	var list []keeper
 	for _, target := range f.board.Keepers(query) {
-		list = append(list, beside{target, mtports.SidecarWords.At(f.site, target.GetAddress())})
+		list = append(list, sidecarKeeper{target, mtports.SidecarWords.At(f.site, target.GetAddress())})
 	}
 	if len(list) > 0 {
 		return list
 	}
-	return []address{fellow{f.peers.nearest(mtboard.Home(query.Ask()), f.socket.Address())}}
+	return []keeper{entryKeeper{f.peers.nearest(mtboard.Home(query.Ask()), f.socket.Address())}}
 }
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -123,7 +123,7 @@
 	all := time.Now()
 	for ctx.Err() == nil {
 		most := digestPeers
-		if f.stands.holds() && time.Since(all) > holderEach {
+		if f.standbys.holds() && time.Since(all) > holderEach {
 			all, most = time.Now(), math.MaxInt
 		}
 		select {
@@ -138,7 +138,7 @@
 		if catalog := f.catalog.Load(); catalog != nil {
 			digest.Catalog = catalog.Revision()
 		}
-		digest.Custody, digest.Away = f.stands.version(), f.away.Load() > 0
+		digest.Custody, digest.Away = f.standbys.version(), f.away.Load() > 0
 		if f.board.Entries() == 0 {
 			digest.Peers = f.peers.fresh(toldPeers)
 		}
@@ -181,7 +181,7 @@
 	if digest.GetCatalog() > 0 && (catalog == nil || digest.GetCatalog() > catalog.Revision()) {
 		return true
 	}
-	if digest.GetCustody() > f.stands.version() {
+	if digest.GetCustody() > f.standbys.version() {
 		return true
 	}
 	view := f.roster.View()
@@ -222,7 +222,7 @@
 func (f *Front) ask(ctx context.Context, from string) {
 	address := mtports.EntryCalls.At(f.site, from)
 	client := fleetv1connect.NewPeerServiceClient(f.asker, "http://"+address)
-	request := &fleetv1.KnowRequest{Targets: f.roster.View().Complete(), Custody: f.stands.version()}
+	request := &fleetv1.KnowRequest{Targets: f.roster.View().Complete(), Custody: f.standbys.version()}
 	if catalog := f.catalog.Load(); catalog != nil {
 		request.Catalog = catalog.Revision()
 	}
@@ -238,7 +238,7 @@
 	for _, weights := range known.GetNamed() {
 		f.named(weights, "entry "+address)
 	}
-	f.stands.adopt(known.GetCustody(), "entry "+address)
+	f.standbys.adopt(known.GetCustody(), "entry "+address)
 	f.learnTargets(known, "entry "+address)
 }
 
@@ -277,8 +277,8 @@
 	if catalog := f.catalog.Load(); catalog != nil && catalog.Revision() > request.Msg.GetCatalog() {
 		known.Catalog = catalog.Source()
 	}
-	if f.stands.version() > request.Msg.GetCustody() {
-		known.Custody = f.stands.known()
+	if f.standbys.version() > request.Msg.GetCustody() {
+		known.Custody = f.standbys.known()
 	}
 	if since := request.Msg.GetTargets(); since > 0 {
 		if changed, gone, ok := view.Since(since); ok {
--- a/internal/relay/mtfront/stand.go
+++ b/internal/relay/mtfront/standbys.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// standTime is how often an entry looks after engines without sidecars.
-	standTime = 250 * time.Millisecond
+	// standbyTime is how often an entry looks after engines without sidecars.
+	standbyTime = 250 * time.Millisecond
 	// roleTime is how often an entry looks whether it should follow the custody.
 	roleTime = time.Second
 	// goneTime is how long a sidecar must not have spoken to count as gone: long beside
@@ -34,42 +34,42 @@
 	holderTime = 2500 * time.Millisecond
 	// spokeTime is how long its last word counts as heard just now.
 	spokeTime = time.Second
-	// defaultLease stands for the time in which two instances must not order one engine
+	// defaultLease standbys for the time in which two instances must not order one engine
 	// where the settings name none.
 	defaultLease = 3 * time.Second
 )
 
-// stands is the entry's part in the orders of engines whose sidecars are gone.
-type stands struct {
+// standbys are the entry's part in the orders of engines whose sidecars are gone.
+type standbys struct {
 	front *Front
 
 	mu      sync.Mutex
 	custody *mtcustody.Custody
 	// writing lets one call to the store that changes the custody follow another.
 	writing sync.Mutex
-	running map[string]*stand
+	running map[string]*running
 	// queues are the services' queues of loads, for all standbys at once, as arranged
 	// at a time.
 	queues   map[string]*mtboard.Queues
 	arranged time.Time
 }
 
-// stand is one engine's standby, and the channel on which its end is told.
-type stand struct {
+// running is one engine's standby, and the channel on which its end is told.
+type running struct {
 	cancel context.CancelFunc
 	end    chan error
 }
 
-func newStands(f *Front) *stands {
+func newStandbys(f *Front) *standbys {
 	lease := f.site.GetBounds().GetLease().AsDuration()
 	if lease <= 0 {
 		lease = defaultLease
 	}
-	return &stands{front: f, custody: mtcustody.New(f.site.GetName(), f.socket.Address(), lease), running: map[string]*stand{}, queues: map[string]*mtboard.Queues{}}
+	return &standbys{front: f, custody: mtcustody.New(f.site.GetName(), f.socket.Address(), lease), running: map[string]*running{}, queues: map[string]*mtboard.Queues{}}
 }
 
 // run looks after engines without sidecars until ctx ends.
-func (s *stands) run(ctx context.Context) error {
+func (s *standbys) run(ctx context.Context) error {
 	defer func() {
 		for id, one := range s.running {
 			s.stop(id, one)
@@ -78,7 +78,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-time.After(standTime):
+		case <-time.After(standbyTime):
 		}
 		if s.front.catalog.Load() == nil || ctx.Err() != nil {
 			continue
@@ -90,12 +90,12 @@
 }
 
 // address is a target's; empty where it is not listed.
-func (s *stands) address(target string) string {
+func (s *standbys) address(target string) string {
 	return s.front.roster.View().Target(target).GetAddress()
 }
 
 // next takes engines, or gives them back.
-func (s *stands) next(ctx context.Context) {
+func (s *standbys) next(ctx context.Context) {
 	v := s.view()
 	if v.First {
 		s.doubt()
@@ -115,7 +115,7 @@
 // doubt greets the sidecars that have not spoken for a while: in a large fleet those of
 // other data centres are greeted seldom, and a few datagrams that were lost must not
 // take their engines from them.
-func (s *stands) doubt() {
+func (s *standbys) doubt() {
 	f := s.front
 	for _, target := range f.board.Unattended(doubtTime) {
 		s.mu.Lock()
@@ -128,7 +128,7 @@
 }
 
 // view is what the entry sees of sidecars and other entries.
-func (s *stands) view() *mtcustody.View {
+func (s *standbys) view() *mtcustody.View {
 	f := s.front
 	live := f.peers.heard(holderTime)
 	listed := f.roster.View()
@@ -145,7 +145,7 @@
 	}
 }
 
-func (s *stands) read(ctx context.Context) {
+func (s *standbys) read(ctx context.Context) {
 	custody, revision, err := s.front.store.Custody(ctx)
 	if err != nil {
 		s.front.trail.Warn(mtkind.StoreLost, zap.String("kind", "custody"), zap.Error(err))
@@ -161,7 +161,7 @@
 
 // write carries out a write that is decided once none other is under way. It reports
 // whether it succeeded.
-func (s *stands) write(ctx context.Context, decide func() mtcustody.Step) bool {
+func (s *standbys) write(ctx context.Context, decide func() mtcustody.Step) bool {
 	s.writing.Lock()
 	defer s.writing.Unlock()
 	s.mu.Lock()
@@ -193,7 +193,7 @@
 }
 
 // manage runs a standby for each engine that is this entry's to order.
-func (s *stands) manage(ctx context.Context) {
+func (s *standbys) manage(ctx context.Context) {
 	f := s.front
 	view := f.roster.View()
 	wanted := map[string]bool{}
@@ -215,18 +215,18 @@
 	}
 }
 
-func (s *stands) start(ctx context.Context, target *fleetv1.Target) *stand {
+func (s *standbys) start(ctx context.Context, target *fleetv1.Target) *running {
 	f := s.front
 	probe := mtprobe.New(target.GetAddress(), f.network.Dial)
 	standby := mtstandby.New(target, f.site.GetName(), f.site.GetBounds().GetWeights().AsDuration(), s, probe, f.trail)
 	ctx, cancel := context.WithCancel(ctx)
-	one := &stand{cancel: cancel, end: make(chan error, 1)}
+	one := &running{cancel: cancel, end: make(chan error, 1)}
 	go func() { one.end <- standby.Run(ctx) }()
 	return one
 }
 
 // stop ends an engine's standby.
-func (s *stands) stop(id string, one *stand) {
+func (s *standbys) stop(id string, one *running) {
 	one.cancel()
 	if err := <-one.end; err != nil && !errors.Is(err, context.Canceled) {
 		s.front.trail.Warn(mtkind.EngineReturned, zap.String("target", id), zap.Error(err))
