Write once what the change wrote twice, and copy less on the way to a choice

A loop was slices.ContainsFunc. - A choice copied each candidate twice through its iterator: it hands out a pointer, and questions keep target and cost alone.

Looked at and left: keepers are worked out for each question and notice, as one that was just found silent is passed over; the charge of an engine is found by its address in mtcustody and by its instance in the sidecar; sends of the two kinds of keepers are alike in shape only.

--- a/internal/placement/mtboard/ask.go
+++ b/internal/placement/mtboard/ask.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
@@ -32,29 +31,30 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	q.asked = true
-	best := make([]Choice, 0, most+1)
+	best := make([]weighed, 0, most+1)
 	for c, l := range b.weighing(q).candidates() {
-		if l != lackNone {
-			continue
-		}
-		at, _ := slices.BinarySearchFunc(best, c.cost, func(other Choice, cost time.Duration) int { return cmp.Compare(other.cost, cost) })
-		if at < most {
-			best = slices.Insert(best, at, c)
-			best = best[:min(len(best), most)]
+		if l == lackNone {
+			best = keepBest(best, weighed{c.record, c.cost}, most, func(a, b weighed) int { return cmp.Compare(a.cost, b.cost) })
 		}
 	}
-	if len(best) == 0 || best[0].current {
+	if len(best) == 0 || q.current(best[0].record) {
 		return nil
 	}
 	var ask []*fleetv1.Target
-	for i := range best {
-		if r := best[i].record; !best[i].current && time.Now().After(r.muted) {
-			ask = append(ask, r.target)
+	for _, w := range best {
+		if !q.current(w.record) && time.Now().After(w.record.muted) {
+			ask = append(ask, w.record.target)
 		}
 	}
 	return ask
 }
 
+// weighed is a target and its cost.
+type weighed struct {
+	record *record
+	cost   time.Duration
+}
+
 // Silent notes that a target's sidecar was asked and did not answer.
 func (b *Board) Silent(q *Query, target string) {
 	b.mu.Lock()
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -27,13 +27,14 @@
 		}
 		switch {
 		case best.record == nil:
-			c.lost, best = lost, c
+			best = *c
+			best.lost = lost
 		case c.before(&best):
 			c.lost = best.lost
 			c.lose(&best)
-			best = c
+			best = *c
 		default:
-			best.lose(&c)
+			best.lose(c)
 		}
 	}
 	if best.record == nil {
@@ -53,11 +54,13 @@
 }
 
 // candidates are the service's targets, weighed where nothing keeps them from being
-// considered.
-func (w *weighing) candidates() iter.Seq2[Choice, lack] {
-	return func(yield func(Choice, lack) bool) {
+// considered. Each stands until the next one comes: a candidate is large, and most are
+// only looked at.
+func (w *weighing) candidates() iter.Seq2[*Choice, lack] {
+	return func(yield func(*Choice, lack) bool) {
+		var c Choice
 		for _, r := range w.board.services[w.query.service.GetName()] {
-			c := w.candidate(r)
+			c = w.candidate(r)
 			l := w.lack(&c)
 			if l == lackNone {
 				w.weigh(&c)
@@ -65,7 +68,7 @@
 				c.cost = c.bill.sum()
 				c.current = w.query.current(r)
 			}
-			if !yield(c, l) {
+			if !yield(&c, l) {
 				return
 			}
 		}
--- a/internal/placement/mtboard/seek.go
+++ b/internal/placement/mtboard/seek.go
@@ -46,12 +46,8 @@
 		if !r.attended || time.Since(r.spoke) > keeperTime || time.Now().Before(r.muted) {
 			continue
 		}
-		score := xxh3.HashStringSeed(part, r.hash)
-		at, _ := slices.BinarySearchFunc(best, score, func(other ranked, score uint64) int { return cmp.Compare(score, other.score) })
-		if at < keepers {
-			best = slices.Insert(best, at, ranked{r.target, score})
-			best = best[:min(len(best), keepers)]
-		}
+		r := ranked{r.target, xxh3.HashStringSeed(part, r.hash)}
+		best = keepBest(best, r, keepers, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
 	}
 	list := make([]*fleetv1.Target, 0, keepers)
 	for _, k := range best {
--- a/internal/placement/mtboard/without.go
+++ b/internal/placement/mtboard/without.go
@@ -15,10 +15,9 @@
 	some  bool
 	items [items]bool
 	// store is that no store of cached parts is used, events that caches are not
-	// followed,
-	// pace that targets are taken to be alike, speeds that nothing is learned, and asks
-	// that no sidecar is asked before a choice, and directory that holders are not looked
-	// for.
+	// followed, pace that targets are taken to be alike, speeds that nothing is learned,
+	// asks that no sidecar is asked before a choice, and directory that holders are not
+	// looked for.
 	store, events, pace, speeds, asks, directory bool
 }
 
--- a/internal/relay/mtbeside/order.go
+++ b/internal/relay/mtbeside/order.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/relay/mtprobe"
 )
 
 // noticeTime is how long the entries have known before an order is sent: a
@@ -85,25 +84,10 @@
 	order.Fence = max(order.GetFence(), fence)
 	order.Holder = s.site.GetName()
 	order.Target = target
-	fields := []zap.Field{
-		zap.String("target", target), zap.String("model", order.GetWeights().GetModel()),
-		zap.Int64("version", order.GetWeights().GetVersion()), zap.Int64("fence", order.GetFence()),
-		zap.Int64("expected", order.GetExpected()),
-	}
-	s.trail.Say(mtkind.SwapSent, fields...)
-	status, err := s.engine.Swap(ctx, order)
+	taken, err := s.engine.Order(ctx, order, s.trail)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case err != nil:
-		s.trail.Warn(mtkind.SwapUnanswered, append(fields, zap.Error(err))...)
-	case status == http.StatusOK || status == http.StatusAccepted:
-		s.plan.Accepted()
-		s.trail.Say(mtkind.SwapTaken, append(fields, zap.Int("status", status))...)
-	default:
-		s.plan.Refused()
-		s.trail.Warn(mtkind.SwapRefused, append(fields, zap.Int("status", status))...)
-	}
+	s.plan.Answered(taken, err)
 }
 
 // models are a report's weights for a log line.
@@ -118,7 +102,5 @@
 // sameReport says that two reports differ in nothing on which entries choose
 // at once; the rest goes with the next answer to a hello.
 func sameReport(a, b *fleetv1.Report) bool {
-	return a.GetBorn() == b.GetBorn() && a.GetBusy() == b.GetBusy() && proto.Equal(versions(a), versions(b))
+	return a.GetBorn() == b.GetBorn() && a.GetBusy() == b.GetBusy() && mtprobe.SameWeights(a, b)
 }
-
-func versions(r *fleetv1.Report) *fleetv1.Report { return &fleetv1.Report{Models: r.GetModels()} }
--- a/internal/relay/mtcustody/model_test.go
+++ b/internal/relay/mtcustody/model_test.go
@@ -447,16 +447,22 @@
 	})
 }
 
+// sole is what an entry sees that hears of nobody, in a fleet of one engine; heard is
+// whether that engine's sidecar speaks.
+func sole(heard *bool) *mtcustody.View {
+	return &mtcustody.View{
+		Gone: []string{"engine"}, First: true,
+		Heard: func(string) bool { return *heard }, Listed: func(string) bool { return true }, Live: func(string) bool { return false },
+	}
+}
+
 // An entry writes the custody, and is held up before the order that was to follow: the
 // number must not be used any more, as another may have taken over meanwhile.
 func TestRenewalIsShortLived(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := mtcustody.New("entry", "", lease)
 		c.Seen(nil, 0)
-		v := &mtcustody.View{
-			Gone: []string{"engine"}, First: true,
-			Heard: func(string) bool { return false }, Listed: func(string) bool { return true }, Live: func(string) bool { return false },
-		}
+		v := sole(new(bool))
 		take, ok := c.Next(v).(mtcustody.Write)
 		if !ok {
 			t.Fatal("the engine is not taken")
@@ -502,10 +508,7 @@
 		heard := false
 		c := mtcustody.New("entry", "", lease)
 		c.Seen(nil, 0)
-		v := &mtcustody.View{
-			Gone: []string{"engine"}, First: true,
-			Heard: func(string) bool { return heard }, Listed: func(string) bool { return true }, Live: func(string) bool { return false },
-		}
+		v := sole(&heard)
 		if take, ok := c.Next(v).(mtcustody.Write); ok {
 			c.Wrote(take.Custody, 7, time.Now())
 		}
--- a/internal/relay/mtfront/ask.go
+++ b/internal/relay/mtfront/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -94,7 +95,7 @@
 	for range askRounds {
 		targets := f.board.Doubtful(query, askMost)
 		for _, holder := range f.board.Holders(query, holdersMost) {
-			if !contains(targets, holder) {
+			if !slices.ContainsFunc(targets, func(t *fleetv1.Target) bool { return t.GetId() == holder.GetId() }) {
 				targets = append(targets, holder)
 			}
 		}
@@ -106,15 +107,6 @@
 	}
 }
 
-func contains(list []*fleetv1.Target, target *fleetv1.Target) bool {
-	for _, other := range list {
-		if other.GetId() == target.GetId() {
-			return true
-		}
-	}
-	return false
-}
-
 // askAll asks the sidecars of some targets, and some keepers, and waits for their answers
 // for a moment.
 func (f *Front) askAll(ctx context.Context, query *mtboard.Query, targets []*fleetv1.Target, seek []keeper) {
--- a/internal/relay/mtfront/host.go
+++ b/internal/relay/mtfront/host.go
@@ -33,12 +33,11 @@
 // May implements mtstandby.Host.
 func (s *standbys) May(target string) bool {
 	address := s.address(target)
-	if s.front.board.Spoke(address) < spokeTime {
-		return false
-	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.custody.May(address)
+	may := s.custody.May(address)
+	s.mu.Unlock()
+	// Last, as it looks at all targets: mostly no engine is taken.
+	return may && s.front.board.Spoke(address) >= spokeTime
 }
 
 // Fence implements mtstandby.Host.
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -177,19 +177,18 @@
 func (r *request) serve(ctx context.Context) {
 	allowance := r.front.allowance(r.service.GetName())
 	allowance.Request()
-	query := mtboard.NewQuery(r.service, r.ask, r.account, r.front.catalog.Load().Cache(mtboard.Home(r.ask)), r.route.GetAim().AsDuration())
-	r.query = query
+	r.query = mtboard.NewQuery(r.service, r.ask, r.account, r.front.catalog.Load().Cache(mtboard.Home(r.ask)), r.route.GetAim().AsDuration())
 	var last result = rejected{}
 	for r.mayTry(last) {
 		if r.tries > 0 && !allowance.Take(r.front.entries()) {
 			r.front.trail.Metrics().Add("retries_denied_total", 1)
 			break
 		}
-		r.front.consult(ctx, query)
-		choice := r.front.board.Choose(query)
+		r.front.consult(ctx, r.query)
+		choice := r.front.board.Choose(r.query)
 		if choice == nil {
 			if r.tries == 0 && r.unreached == 0 {
-				last = rejected{why: "no target can take it; " + r.front.board.Lacks(query)}
+				last = rejected{why: "no target can take it; " + r.front.board.Lacks(r.query)}
 			}
 			break
 		}
@@ -200,7 +199,7 @@
 				zap.String("next", choice.Losers()), zap.String("unfit", choice.Unfit()))
 			return
 		}
-		query.Exclude(choice.Target())
+		r.query.Exclude(choice.Target())
 		last = r.send(ctx, choice)
 		r.log(choice, last)
 		if _, ok := last.(broken); ok {
--- a/internal/relay/mtprobe/probe.go
+++ b/internal/relay/mtprobe/probe.go
@@ -10,8 +10,12 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/observe/mttrail"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/platform/mtspeech"
 )
@@ -65,8 +69,36 @@
 	return events, trace.Wrap(err)
 }
 
-// Swap sends an order and returns the status.
-func (p *Probe) Swap(ctx context.Context, order *fleetv1.Swap) (int, error) {
+// Order sends an order and logs it with what became of it; more are fields beside the
+// order's own. It reports whether the engine took the order; after an error it may still
+// carry it out.
+func (p *Probe) Order(ctx context.Context, order *fleetv1.Swap, trail *mttrail.Trail, more ...zap.Field) (bool, error) {
+	fields := append([]zap.Field{
+		zap.String("target", order.GetTarget()), zap.String("model", order.GetWeights().GetModel()),
+		zap.Int64("version", order.GetWeights().GetVersion()), zap.Int64("fence", order.GetFence()),
+		zap.Int64("expected", order.GetExpected()),
+	}, more...)
+	trail.Say(mtkind.SwapSent, fields...)
+	status, err := p.swap(ctx, order)
+	taken := status == http.StatusOK || status == http.StatusAccepted
+	switch {
+	case err != nil:
+		trail.Warn(mtkind.SwapUnanswered, append(fields, zap.Error(err))...)
+	case taken:
+		trail.Say(mtkind.SwapTaken, append(fields, zap.Int("status", status))...)
+	default:
+		trail.Warn(mtkind.SwapRefused, append(fields, zap.Int("status", status))...)
+	}
+	return taken, trace.Wrap(err)
+}
+
+// SameWeights says that two reports name the same versions of the same models.
+func SameWeights(a, b *fleetv1.Report) bool {
+	return proto.Equal(&fleetv1.Report{Models: a.GetModels()}, &fleetv1.Report{Models: b.GetModels()})
+}
+
+// swap sends an order and returns the status.
+func (p *Probe) swap(ctx context.Context, order *fleetv1.Swap) (int, error) {
 	body, err := mtspeech.EncodeSwap(order)
 	if err != nil {
 		return 0, trace.Wrap(err)
--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -219,6 +219,18 @@
 	return &fleetv1.Swap{Weights: d.weights, Fence: d.weights.GetRevision(), Expected: report.GetOrders()}
 }
 
+// Answered notes what became of an order. One without an answer may still be carried
+// out: the report shows it, or the order is sent again after its time.
+func (p *Plan) Answered(taken bool, err error) {
+	switch {
+	case err != nil:
+	case taken:
+		p.Accepted()
+	default:
+		p.Refused()
+	}
+}
+
 // Accepted notes that the engine took the order: its report shows the rest.
 func (p *Plan) Accepted() { p.blocked = time.Now().Add(againTime) }
 
--- a/internal/relay/mtstandby/standby.go
+++ b/internal/relay/mtstandby/standby.go
@@ -8,11 +8,9 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
@@ -131,12 +129,9 @@
 	if turned {
 		s.ordering, s.told = ordering, time.Now()
 	}
-	s.tell(turned || back || !proto.Equal(models(before), models(report)))
+	s.tell(turned || back || !mtprobe.SameWeights(before, report))
 }
 
-// models is a report of the weights alone.
-func models(r *fleetv1.Report) *fleetv1.Report { return &fleetv1.Report{Models: r.GetModels()} }
-
 // tell lets the entry, and where there is news all entries, know how the engine is.
 func (s *Standby) tell(news bool) {
 	s.host.Hear(&fleetv1.State{
@@ -166,21 +161,6 @@
 		return
 	}
 	order.Holder, order.Target = s.holder, s.target
-	fields := []zap.Field{
-		zap.String("target", s.target), zap.String("model", order.GetWeights().GetModel()),
-		zap.Int64("version", order.GetWeights().GetVersion()), zap.Int64("fence", order.GetFence()),
-		zap.Int64("expected", order.GetExpected()), zap.String("for", "the engine's sidecar"),
-	}
-	s.trail.Say(mtkind.SwapSent, fields...)
-	status, err := s.probe.Swap(ctx, order)
-	switch {
-	case err != nil:
-		s.trail.Warn(mtkind.SwapUnanswered, append(fields, zap.Error(err))...)
-	case status == http.StatusOK || status == http.StatusAccepted:
-		s.plan.Accepted()
-		s.trail.Say(mtkind.SwapTaken, append(fields, zap.Int("status", status))...)
-	default:
-		s.plan.Refused()
-		s.trail.Warn(mtkind.SwapRefused, append(fields, zap.Int("status", status))...)
-	}
+	taken, err := s.probe.Order(ctx, order, s.trail, zap.String("for", "the engine's sidecar"))
+	s.plan.Answered(taken, err)
 }
--- a/internal/relay/mtwords/words.go
+++ b/internal/relay/mtwords/words.go
@@ -4,6 +4,9 @@
 package mtwords
 
 import (
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
@@ -15,8 +18,13 @@
 type Words struct {
 	socket  mtpulse.Socket
 	metrics *mtmetric.Set
+	// counts are those of each kind that was sent, by its name.
+	counts sync.Map
 }
 
+// count are the counters of one kind.
+type count struct{ words, bytes metrics.Counter }
+
 // New returns a sender whose counters are among some metrics.
 func New(socket mtpulse.Socket, metrics *mtmetric.Set) *Words {
 	return &Words{socket: socket, metrics: metrics}
@@ -29,9 +37,20 @@
 		w.metrics.Add("word_send_failures_total", 1)
 		return
 	}
-	label := `{kind="` + kind(message) + `"}`
-	w.metrics.Add("words_total"+label, 1)
-	w.metrics.Add("words_bytes_total"+label, int64(n))
+	c := w.count(kind(message))
+	c.words.Inc(1)
+	c.bytes.Inc(int64(n))
+}
+
+// count returns the counters of a kind, which are kept: a process sends hundreds of
+// datagrams a second.
+func (w *Words) count(kind string) *count {
+	if c, ok := w.counts.Load(kind); ok {
+		return c.(*count)
+	}
+	label := `{kind="` + kind + `"}`
+	c, _ := w.counts.LoadOrStore(kind, &count{w.metrics.Counter("words_total" + label), w.metrics.Counter("words_bytes_total" + label)})
+	return c.(*count)
 }
 
 // kind names what a message is.
