Hold the quotas of client accounts over the whole fleet

Ruled out: equal parts of each quota, as the older interface has them: with 22 entries an account of 18,000 tokens a second has 818 at each, where one dossier is 9,200; and counting first and correcting later, which knows nothing of a flood for as long as its news takes. Change: every entry owns an equal share of each quota and lends it for 0.6 s to one allocator, chosen by hash over the live entries; the allocator grants absolute credit (mtallocator), entries admit from it and draw ahead of need (mtquota). What may be used beyond a quota is divided in one place (mtmargin). 429 before the body is read; credit of requests that have not run comes back.

--- /dev/null
+++ b/internal/admission/mtallocator/allocator.go
@@ -0,0 +1,243 @@
+// Package mtallocator grants entries credit from the quotas of client accounts, each of
+// which holds over the whole fleet.
+//
+// Every live entry owns an equal share of each quota and lends it to one allocator for a
+// short lease, renewed with each draw. An allocator grants what it was lent to whichever
+// entry asks, in absolute amounts that are taken off when they are granted. So the
+// allocators of two halves of a divided fleet, or of a fleet that disagrees on which entry
+// allocates, together grant no more than the quota; one that starts anew has no burst to
+// grant again; and credit in the hands of an entry that is dead or cut off is not granted
+// twice.
+package mtallocator
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtmargin"
+)
+
+const (
+	// LeaseTime is how long an entry's share stays lent after its last draw.
+	LeaseTime = 600 * time.Millisecond
+	// gapTime is the time without any draw after which a shard begins anew: its lenders
+	// have lent their shares to others, or the process was frozen.
+	gapTime = 500 * time.Millisecond
+	// suspended is the difference between the steps of both clocks that shows that the
+	// process was suspended: the steady clock does not count that time.
+	suspended = 100 * time.Millisecond
+	// countTime is how often the lenders of a shard are counted.
+	countTime = 20 * time.Millisecond
+	// reserve is the part of a full balance that is granted to waiting requests only.
+	reserve = 0.25
+	// heldPart is the part of a full balance that entries may hold, besides the margin.
+	heldPart = 0.5
+	// leastWait is the least time to the next credit that entries are told.
+	leastWait = 10 * time.Millisecond
+	// leastLent bounds that time where hardly anything is lent.
+	leastLent = 1e-3
+)
+
+// Allocator grants the credit of the shards of which its entry is in charge. It is safe
+// for concurrent use.
+type Allocator struct {
+	bounds *fleetv1.Bounds
+
+	mu     sync.Mutex
+	shards map[uint32]*shard
+	looked time.Time
+}
+
+// shard is a part of the accounts.
+type shard struct {
+	lenders  map[string]*lender
+	accounts map[string]*balance
+	// accrued is the time for which the whole quota was lent, in seconds: half of it lent
+	// for two seconds counts as one.
+	accrued float64
+	at      time.Time
+	// lent is the part of the quota that is lent now, counted when it was last counted.
+	lent    float64
+	counted time.Time
+}
+
+// lender is an entry that lends its share.
+type lender struct {
+	run, before uint64
+	number      uint64
+	last        time.Time
+	// left says that it has ended its lease. It stays known for the lease's time, so that
+	// an earlier draw that comes late does not begin it again.
+	left bool
+	held map[string]float64
+}
+
+// balance is one account's.
+type balance struct {
+	level   float64
+	accrued float64
+	// held is the credit in the hands of all lenders.
+	held float64
+}
+
+// New returns an allocator to which nobody has lent anything.
+func New(bounds *fleetv1.Bounds) *Allocator {
+	return &Allocator{bounds: bounds, shards: map[uint32]*shard{}, looked: time.Now()}
+}
+
+// Answer grants what it can of a draw, in a fleet of so many entries. It returns nil for
+// a draw that came twice or out of order. accounts returns an account by its name, nil
+// for one that the configuration does not name.
+func (a *Allocator) Answer(from string, draw *fleetv1.Draw, entries int, accounts func(string) *fleetv1.Account) *fleetv1.Grant {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	a.look(now)
+	s := a.shard(draw.GetShard(), now)
+	l, known := s.lender(from, draw)
+	if l == nil {
+		return nil
+	}
+	l.last = now
+	l.left = draw.GetLeaves()
+	s.count(now, entries, !known || l.left)
+	grant := &fleetv1.Grant{Shard: draw.GetShard(), Number: draw.GetNumber()}
+	for _, need := range draw.GetNeeds() {
+		account := accounts(need.GetAccount())
+		if account.GetRate() <= 0 {
+			grant.Credits = append(grant.Credits, &fleetv1.Credit{Account: need.GetAccount(), Amount: need.GetWaiting()})
+			continue
+		}
+		grant.Credits = append(grant.Credits, s.grant(l, known, need, account, mtmargin.Of(account, a.bounds)))
+	}
+	return grant
+}
+
+// look begins all shards anew where the process was suspended: the steady clock says
+// that leases which ended meanwhile still hold.
+func (a *Allocator) look(now time.Time) {
+	gap := now.Round(0).Sub(a.looked.Round(0)) - now.Sub(a.looked)
+	a.looked = now
+	if gap > suspended || gap < -suspended {
+		clear(a.shards)
+	}
+}
+
+// shard returns a shard with its accrued time brought up to now.
+func (a *Allocator) shard(number uint32, now time.Time) *shard {
+	s := a.shards[number]
+	if s == nil || now.Sub(s.at) > gapTime {
+		s = &shard{lenders: map[string]*lender{}, accounts: map[string]*balance{}, at: now}
+		a.shards[number] = s
+	}
+	s.accrued += now.Sub(s.at).Seconds() * s.lent
+	s.at = now
+	return s
+}
+
+// lender returns the entry that draws, and whether this run of it has drawn before; nil
+// for a draw that is no newer than its last.
+func (s *shard) lender(from string, draw *fleetv1.Draw) (*lender, bool) {
+	l := s.lenders[from]
+	switch {
+	case l == nil:
+		l = &lender{run: draw.GetRun(), number: draw.GetNumber(), held: map[string]float64{}}
+		s.lenders[from] = l
+		return l, false
+	case draw.GetRun() == l.before || draw.GetRun() == l.run && draw.GetNumber() <= l.number:
+		return nil, false
+	case draw.GetRun() != l.run:
+		before := l.run
+		s.drop(from)
+		l = &lender{run: draw.GetRun(), before: before, number: draw.GetNumber(), held: map[string]float64{}}
+		s.lenders[from] = l
+		return l, false
+	}
+	l.number = draw.GetNumber()
+	return l, true
+}
+
+// count counts the lenders whose leases hold, now and then.
+func (s *shard) count(now time.Time, entries int, changed bool) {
+	if !changed && now.Sub(s.counted) < countTime {
+		return
+	}
+	s.counted = now
+	lent := 0
+	for from, l := range s.lenders {
+		switch {
+		case now.Sub(l.last) > LeaseTime:
+			s.drop(from)
+		case !l.left:
+			lent++
+		}
+	}
+	s.lent = min(1, float64(lent)/float64(max(entries, 1)))
+}
+
+// drop forgets a lender; the credit that it holds stays taken off.
+func (s *shard) drop(from string) {
+	for name, held := range s.lenders[from].held {
+		s.accounts[name].held -= held
+	}
+	delete(s.lenders, from)
+}
+
+// grant answers one need.
+func (s *shard) grant(l *lender, known bool, need *fleetv1.Need, account *fleetv1.Account, margin mtmargin.Margin) *fleetv1.Credit {
+	full := mtmargin.Burst(account) * s.lent
+	b := s.balance(need.GetAccount(), account)
+	b.hold(l, need)
+	if known {
+		b.level += float64(max(0, need.GetReturned()))
+	}
+	// What entries hold beyond the margin is a part of the burst.
+	b.level = min(b.level, full-max(0, b.held-margin.Parked()))
+	amount := 0.0
+	// A request that fits in part is granted whole: credit that is just short of a large
+	// request would always go to smaller ones. What entries hold counts as left.
+	waiting := float64(max(0, need.GetWaiting()))
+	if waiting > 0 && b.level > -b.held && waiting <= b.level+margin.Overdraw()*s.lent {
+		amount = waiting
+		b.level -= waiting
+	}
+	ahead := min(float64(max(0, need.GetAhead())), b.level-reserve*full, margin.Parked()+heldPart*full-b.held)
+	ahead = max(0, float64(int64(ahead)))
+	b.level -= ahead
+	b.held += ahead
+	l.held[need.GetAccount()] += ahead
+	credit := &fleetv1.Credit{Account: need.GetAccount(), Amount: int64(amount + ahead)}
+	if waiting > amount {
+		credit.Wait = durationpb.New(s.wait(b.level, account))
+	}
+	return credit
+}
+
+// balance returns an account's balance at this moment. One that nobody has asked for has
+// accrued since the shard began.
+func (s *shard) balance(name string, account *fleetv1.Account) *balance {
+	b := s.accounts[name]
+	if b == nil {
+		b = &balance{}
+		s.accounts[name] = b
+	}
+	b.level += account.GetRate() * (s.accrued - b.accrued)
+	b.accrued = s.accrued
+	return b
+}
+
+// hold takes in what a lender says that it holds.
+func (b *balance) hold(l *lender, need *fleetv1.Need) {
+	held := float64(max(0, need.GetHeld()))
+	b.held += held - l.held[need.GetAccount()]
+	l.held[need.GetAccount()] = held
+}
+
+// wait is the time until a balance is above zero, at what is lent now.
+func (s *shard) wait(level float64, account *fleetv1.Account) time.Duration {
+	rate := account.GetRate() * max(s.lent, leastLent)
+	return max(leastWait, time.Duration(max(0, -level)/rate*float64(time.Second)))
+}
--- /dev/null
+++ b/internal/admission/mtallocator/allocator_test.go
@@ -0,0 +1,159 @@
+package mtallocator_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtallocator"
+)
+
+const (
+	rate  = 1000
+	burst = 1000
+	// beat is the time between two draws.
+	beat = 100 * time.Millisecond
+)
+
+// lender is an entry that draws.
+type lender struct {
+	to      *mtallocator.Allocator
+	name    string
+	run     uint64
+	number  uint64
+	entries int
+}
+
+// draw asks for the cost of one request and returns what was granted, -1 for no answer.
+func (l *lender) draw(cost, returned int64) int64 {
+	l.number++
+	return l.repeat(cost, returned, false)
+}
+
+func (l *lender) repeat(cost, returned int64, leaves bool) int64 {
+	draw := &fleetv1.Draw{Run: l.run, Number: l.number, Leaves: leaves, Needs: []*fleetv1.Need{{Account: "school", Waiting: cost, Returned: returned}}}
+	grant := l.to.Answer(l.name, draw, l.entries, account)
+	if grant == nil {
+		return -1
+	}
+	return grant.GetCredits()[0].GetAmount()
+}
+
+// lend draws nothing for a time.
+func (l *lender) lend(d time.Duration) {
+	for range int(d / beat) {
+		l.draw(0, 0)
+		time.Sleep(beat)
+	}
+}
+
+func account(name string) *fleetv1.Account {
+	if name != "school" {
+		return nil
+	}
+	return &fleetv1.Account{Name: name, Rate: rate, Burst: burst}
+}
+
+func within(t *testing.T, test func(g *WithT, a *mtallocator.Allocator)) {
+	synctest.Test(t, func(t *testing.T) {
+		test(NewWithT(t), mtallocator.New(&fleetv1.Bounds{Span: durationpb.New(8 * time.Second)}))
+	})
+}
+
+// Failure: an allocator that starts hands out the burst that another has handed out.
+func TestNewAllocatorHasNoBurst(t *testing.T) {
+	within(t, func(g *WithT, a *mtallocator.Allocator) {
+		one := &lender{to: a, name: "one", run: 1, entries: 1}
+		g.Expect(one.draw(100, 0)).To(BeZero())
+		one.lend(2 * beat)
+		g.Expect(one.draw(100, 0)).To(Equal(int64(100)))
+		g.Expect(one.draw(200, 0)).To(BeZero())
+		one.lend(5 * time.Second)
+		g.Expect(one.draw(burst, 0)).To(Equal(int64(burst)))
+	})
+}
+
+// Failure: half of a divided fleet gets the whole quota.
+func TestAllocatorGrantsWhatItWasLent(t *testing.T) {
+	within(t, func(g *WithT, a *mtallocator.Allocator) {
+		one := &lender{to: a, name: "one", run: 1, entries: 4}
+		one.lend(8 * time.Second)
+		g.Expect(one.draw(burst/4+1, 0)).To(BeZero())
+		g.Expect(one.draw(burst/4, 0)).To(Equal(int64(burst / 4)))
+	})
+}
+
+// Failure: a datagram comes twice or late, and its returned credit counts again.
+func TestDrawsThatComeTwice(t *testing.T) {
+	within(t, func(g *WithT, a *mtallocator.Allocator) {
+		one := &lender{to: a, name: "one", run: 1, entries: 1}
+		one.lend(2 * time.Second)
+		g.Expect(one.draw(burst, 0)).To(Equal(int64(burst)))
+		g.Expect(one.draw(0, 100)).To(BeZero())
+		g.Expect(one.repeat(0, 100, false)).To(Equal(int64(-1)))
+		old := *one
+		one.run, one.number = 2, 0
+		g.Expect(one.draw(0, 400)).To(BeZero(), "the credit of another run is gone")
+		g.Expect(old.repeat(0, 400, false)).To(Equal(int64(-1)))
+		g.Expect(one.draw(101, 0)).To(BeZero())
+		g.Expect(one.draw(100, 0)).To(Equal(int64(100)))
+	})
+}
+
+// Failure: an entry lends its share elsewhere, and an earlier draw that comes late lends
+// it here again.
+func TestLeavingEndsALease(t *testing.T) {
+	within(t, func(g *WithT, a *mtallocator.Allocator) {
+		one := &lender{to: a, name: "one", run: 1, entries: 2}
+		two := &lender{to: a, name: "two", run: 2, entries: 2}
+		one.draw(0, 0)
+		two.number = 7
+		two.repeat(0, 0, true)
+		two.number = 6
+		g.Expect(two.repeat(0, 0, false)).To(Equal(int64(-1)))
+		one.lend(4 * time.Second)
+		g.Expect(one.draw(burst/2+1, 0)).To(BeZero())
+		g.Expect(one.draw(burst/2, 0)).To(Equal(int64(burst / 2)))
+	})
+}
+
+// Failure: a process that was frozen takes the draws that waited in its socket for fresh
+// ones, and has credit for the time between.
+func TestFrozenAllocatorBeginsAnew(t *testing.T) {
+	within(t, func(g *WithT, a *mtallocator.Allocator) {
+		one := &lender{to: a, name: "one", run: 1, entries: 1}
+		one.lend(3 * time.Second)
+		time.Sleep(5 * time.Second)
+		g.Expect(one.draw(100, 0)).To(BeZero())
+	})
+}
+
+// Failure: credit that entries hold is granted a second time to those who wait.
+func TestHeldCreditIsPartOfTheBurst(t *testing.T) {
+	within(t, func(g *WithT, a *mtallocator.Allocator) {
+		one := &lender{to: a, name: "one", run: 1, entries: 1}
+		one.lend(3 * time.Second)
+		one.number++
+		grant := a.Answer("one", &fleetv1.Draw{Run: 1, Number: one.number, Needs: []*fleetv1.Need{{Account: "school", Ahead: 10 * burst}}}, 1, account)
+		held := grant.GetCredits()[0].GetAmount()
+		g.Expect(held).To(Equal(int64(burst / 2)))
+		for range 40 {
+			time.Sleep(beat)
+			one.number++
+			a.Answer("one", &fleetv1.Draw{Run: 1, Number: one.number, Needs: []*fleetv1.Need{{Account: "school", Held: held}}}, 1, account)
+		}
+		g.Expect(one.draw(burst, 0)).To(BeZero())
+	})
+}
+
+// A configuration without a quota grants all; an unknown account has none.
+func TestAccountsWithoutQuota(t *testing.T) {
+	within(t, func(g *WithT, a *mtallocator.Allocator) {
+		draw := &fleetv1.Draw{Run: 1, Number: 1, Needs: []*fleetv1.Need{{Account: "town", Waiting: 5}}}
+		g.Expect(a.Answer("one", draw, 1, account).GetCredits()[0].GetAmount()).To(Equal(int64(5)))
+	})
+}
--- /dev/null
+++ b/internal/admission/mtquota/verdict.go
@@ -0,0 +1,67 @@
+package mtquota
+
+import (
+	"time"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+)
+
+// Verdict is what becomes of a request: Admitted, Waiting or Refused.
+type Verdict interface{ verdict() }
+
+// Admitted is a request whose cost was taken.
+type Admitted struct{}
+
+// Waiting is a request for which credit is drawn.
+type Waiting struct{ Ticket *Ticket }
+
+// Refused is a request over its account's quota, or for which no credit is to be had.
+type Refused struct {
+	Again time.Duration
+	Why   string
+}
+
+// Reasons of refusals.
+const (
+	whyLarge   = "the request is larger than the quota allows at once"
+	whyBlocked = "the quota was used up when credit was drawn last"
+	whyNobody  = "no allocator is drawn from at this moment"
+	whySilent  = "the allocator has not answered in time"
+	whyUsedUp  = "the quota is used up"
+)
+
+func (Admitted) verdict() {}
+func (Waiting) verdict()  {}
+func (Refused) verdict()  {}
+
+// Ticket is a request that waits for credit.
+type Ticket struct {
+	account *account
+	cost    int64
+	// own is the part of the cost that was taken from the entry's credit; the rest is
+	// drawn.
+	own     int64
+	letter  Letter
+	done    chan struct{}
+	granted bool
+	// left says that the request no longer waits: what is granted is credit for others.
+	left bool
+}
+
+// Letter is the draw that must be sent for it.
+func (t *Ticket) Letter() Letter { return t.letter }
+
+// Done is closed once the draw is answered.
+func (t *Ticket) Done() <-chan struct{} { return t.done }
+
+// Letter is a draw and the entry to which it goes.
+type Letter struct {
+	to   string
+	draw *fleetv1.Draw
+}
+
+// To is the address of an entry, maybe this one.
+func (l Letter) To() string { return l.to }
+
+// Draw is what it is asked.
+func (l Letter) Draw() *fleetv1.Draw { return l.draw }
--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -39,6 +39,8 @@
 	CustodyKnown     Kind = 7049
 	EngineTaken      Kind = 7050
 	EngineReturned   Kind = 7051
+	QuotaExceeded    Kind = 7052
+	QuotaBack        Kind = 7053
 )
 
 var fleetRows = map[Kind]row{
@@ -78,5 +80,7 @@
 	CustodyKnown:     {"custody-known", "a new version of which entry gives orders to engines without sidecars"},
 	EngineTaken:      {"engine-taken", "an entry gives the engine its orders from now on, as its sidecar is gone"},
 	EngineReturned:   {"engine-returned", "the entry gives the engine no more orders"},
+	QuotaExceeded:    {"quota-exceeded", "requests of a client account are refused, as its quota is used up"},
+	QuotaBack:        {"quota-back", "no request of the client account was refused for its quota of late"},
 	PeerLost:         {"peer-lost", "another entry that knows more could not be asked"},
 }
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -14,8 +14,10 @@
 	"go.uber.org/zap"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtallocator"
 	"github.com/mustardtide/mustardtide/internal/admission/mtallowance"
 	"github.com/mustardtide/mustardtide/internal/admission/mtclosing"
+	"github.com/mustardtide/mustardtide/internal/admission/mtquota"
 	"github.com/mustardtide/mustardtide/internal/members/mtfollow"
 	"github.com/mustardtide/mustardtide/internal/members/mtroster"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
@@ -56,6 +58,10 @@
 	// directory is the entry's share of who holds which parts, where there are no
 	// sidecars.
 	directory *mtdirectory.Directory
+	// quota is the entry's part of the accounts' quotas, allocator grants those of which
+	// it is in charge.
+	quota     *mtquota.Quota
+	allocator *mtallocator.Allocator
 	catalog   atomic.Pointer[mtcatalog.Catalog]
 	// closing is set once the entry is told to stop.
 	closing atomic.Pointer[mtclosing.Closing]
@@ -98,6 +104,8 @@
 		words:      mtwords.New(socket, trail.Metrics()),
 		trail:      trail,
 		directory:  mtdirectory.New(),
+		quota:      mtquota.New(socket.Address(), site.GetBounds()),
+		allocator:  mtallocator.New(site.GetBounds()),
 		board:      mtboard.New(site.GetDatacentre(), site.GetBounds().GetWeights().AsDuration()),
 		roster:     mtroster.New(),
 		wake:       make(chan struct{}, 1),
@@ -147,6 +155,7 @@
 		f.sweep,
 		f.spreadAll,
 		f.learnAll,
+		f.followQuotas,
 		f.standbys.run,
 		f.standbys.follow,
 	}
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -146,6 +146,10 @@
 		f.words.Send(from, &fleetv1.Word{Word: &fleetv1.Word_Sought{Sought: f.directory.Answer(w.Seek)}})
 	case *fleetv1.Word_Sought:
 		f.sought(from, w.Sought)
+	case *fleetv1.Word_Draw:
+		f.drawn(from, w.Draw)
+	case *fleetv1.Word_Grant:
+		f.quota.Hear(from, w.Grant)
 	}
 }
 
--- a/internal/relay/mtfront/peers.go
+++ b/internal/relay/mtfront/peers.go
@@ -111,6 +111,20 @@
 	return slices.Collect(maps.Keys(p.known))
 }
 
+// open names the live ones that are not about to end.
+func (p *peers) open() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget()
+	var list []string
+	for address, other := range p.known {
+		if other.ends.IsZero() {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 // ends tells when the live ones end, the zero time for those that take requests.
 func (p *peers) ends() []time.Time {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/relay/mtfront/quota.go
@@ -0,0 +1,158 @@
+package mtfront
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtquota"
+	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/platform/mtspeech"
+)
+
+// creditTime is how long a request waits for an allocator's answer once its body is read:
+// the way to another data centre and back.
+const creditTime = 15 * time.Millisecond
+
+// followQuotas draws credit ahead of need until ctx ends.
+func (f *Front) followQuotas(ctx context.Context) error {
+	ticks := time.NewTicker(mtquota.TickTime)
+	defer ticks.Stop()
+	over := map[string]bool{}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks.C:
+		}
+		limited := f.limited()
+		if limited == 0 {
+			continue
+		}
+		for _, letter := range f.quota.Tick(limited, f.peers.open(), f.peers.list()) {
+			f.draw(letter)
+		}
+		f.logQuotas(over)
+	}
+}
+
+// limited is the number of accounts that have a quota.
+func (f *Front) limited() int {
+	if catalog := f.catalog.Load(); catalog != nil {
+		return catalog.Limited()
+	}
+	return 0
+}
+
+// draw sends a draw to its allocator, which may be this entry.
+func (f *Front) draw(letter mtquota.Letter) {
+	if letter.To() != f.socket.Address() {
+		f.words.Send(letter.To(), &fleetv1.Word{Word: &fleetv1.Word_Draw{Draw: letter.Draw()}})
+		return
+	}
+	if grant := f.allocate(letter.To(), letter.Draw()); grant != nil {
+		f.quota.Hear(letter.To(), grant)
+	}
+}
+
+// allocate answers a draw; nil for one that came twice.
+func (f *Front) allocate(from string, draw *fleetv1.Draw) *fleetv1.Grant {
+	catalog := f.catalog.Load()
+	if catalog == nil {
+		return nil
+	}
+	return f.allocator.Answer(from, draw, f.quota.Entries(), catalog.AccountNamed)
+}
+
+// drawn answers another entry's draw.
+func (f *Front) drawn(from string, draw *fleetv1.Draw) {
+	if grant := f.allocate(from, draw); grant != nil {
+		f.words.Send(from, &fleetv1.Word{Word: &fleetv1.Word_Grant{Grant: grant}})
+	}
+}
+
+// logQuotas logs which accounts went over their quotas and came back, and counts what
+// they used.
+func (f *Front) logQuotas(over map[string]bool) {
+	for _, status := range f.quota.Accounts() {
+		if status.Over() == over[status.Account()] {
+			continue
+		}
+		over[status.Account()] = status.Over()
+		kind := mtkind.QuotaBack
+		if status.Over() {
+			kind = mtkind.QuotaExceeded
+		}
+		f.trail.Warn(kind, zap.String("account", status.Account()), zap.Float64("limit", status.Limit()), zap.Float64("demand", status.Demand()),
+			zap.Int64("credit", status.Credit()), zap.Int64("admitted", status.Admitted()), zap.Int64("refused", status.Refused()),
+			zap.String("allocator", f.quota.Allocator(status.Account())), zap.Int("entries", f.quota.Entries()))
+	}
+}
+
+// charge takes the request's cost from its account's quota, or refuses. A request for
+// which credit is drawn is decided on by settle.
+func (r *request) charge() bool {
+	r.cost = mtquota.Cost(r.account, r.ask)
+	verdict := r.front.quota.Enter(r.account, r.cost)
+	if waiting, ok := verdict.(mtquota.Waiting); ok {
+		r.ticket = waiting.Ticket
+		r.front.draw(waiting.Ticket.Letter())
+		return true
+	}
+	return r.charged(verdict)
+}
+
+// settle waits for drawn credit for a moment, and decides.
+func (r *request) settle(ctx context.Context) bool {
+	if r.ticket == nil {
+		return true
+	}
+	timer := time.NewTimer(creditTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-r.ticket.Done():
+	case <-timer.C:
+	}
+	ticket := r.ticket
+	r.ticket = nil
+	return r.charged(r.front.quota.Settle(ticket))
+}
+
+// charged notes a verdict, and answers a request that is refused.
+func (r *request) charged(verdict mtquota.Verdict) bool {
+	refused, ok := verdict.(mtquota.Refused)
+	if !ok {
+		return true
+	}
+	r.cost = 0
+	r.exceeded(refused)
+	return false
+}
+
+// refund gives back the cost of a request that has not run.
+func (r *request) refund() {
+	if r.ticket != nil {
+		// The caller left before its body was read.
+		if _, ok := r.front.quota.Settle(r.ticket).(mtquota.Refused); ok {
+			return
+		}
+	}
+	if r.cost > 0 && !r.mayRun {
+		r.front.quota.Return(r.account, r.cost)
+	}
+}
+
+// exceeded tells the caller that its account is over its quota.
+func (r *request) exceeded(refused mtquota.Refused) {
+	r.front.trail.Metrics().Add(`rejected_total{route="`+r.route.GetName()+`"}`, 1)
+	r.front.trail.Warn(mtkind.RequestRejected, append(r.fields(), zap.Stringer("code", mtcode.RateExceeded),
+		zap.Int("status", http.StatusTooManyRequests), zap.String("why", refused.Why), zap.Duration("again", refused.Again), zap.Int64("cost", mtquota.Cost(r.account, r.ask)),
+		zap.Float64("limit", r.account.GetRate()), zap.String("allocator", r.front.quota.Allocator(r.account.GetName())))...)
+	mtspeech.Refuse(r.out.Header(), refused.Again)
+	r.write(http.StatusTooManyRequests, mtcode.RateExceeded.String()+": "+mtcode.RateExceeded.Text())
+}
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -55,6 +55,7 @@
 	stop := context.AfterFunc(ctx, link.Close)
 	defer stop()
 	header := mtspeech.Outgoing(r.in.Header, r.dispatch(choice))
+	r.mayRun = true
 	if err := link.Send(r.in.Method, r.uri, r.in.Host, header, r.body); err != nil {
 		return r.lost(ctx, choice, link, err)
 	}
@@ -64,6 +65,7 @@
 	}
 	answer := mtspeech.DecodeAnswer(response.StatusCode, response.Header)
 	if answer.GetRefused() {
+		r.mayRun = r.mayHaveRun
 		drain(response)
 		link.Release(answer.GetIdle().AsDuration())
 		choice.End(mtboard.Rejected{Answer: answer})
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtquota"
 	"github.com/mustardtide/mustardtide/internal/admission/mtreturn"
 	"github.com/mustardtide/mustardtide/internal/admission/mtshed"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
@@ -39,6 +40,12 @@
 	body    []byte
 	uri     string
 
+	// cost is what was taken from the account's quota; ticket is set while credit for
+	// it is drawn. mayRun says that some target may have worked on the request, or does.
+	cost   int64
+	ticket *mtquota.Ticket
+	mayRun bool
+
 	// query is what the request needs of a target.
 	query *mtboard.Query
 
@@ -72,9 +79,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	r := &request{front: f, in: in, out: w, ask: mtspeech.Decode(in.Header), begun: time.Now(), uri: requestURI(in)}
-	if !r.resolve() {
+	if !r.resolve() || !r.charge() {
 		return
 	}
+	defer r.refund()
 	timeout := r.timeout()
 	r.until = r.begun.Add(timeout)
 	ctx, cancel := context.WithDeadline(in.Context(), r.until)
@@ -82,6 +90,9 @@
 	if !r.readBody(ctx) {
 		return
 	}
+	if !r.settle(ctx) {
+		return
+	}
 	if !r.takes(ctx) {
 		r.reject("this entry is about to stop", f.closing.Load().Again(time.Now(), f.peers.ends()))
 		return
--- a/internal/relay/mtwords/words.go
+++ b/internal/relay/mtwords/words.go
@@ -100,6 +100,10 @@
 		return "seek"
 	case *fleetv1.Word_Sought:
 		return "sought"
+	case *fleetv1.Word_Draw:
+		return "draw"
+	case *fleetv1.Word_Grant:
+		return "grant"
 	default:
 		return "other"
 	}
--- a/internal/routing/mtcatalog/catalog.go
+++ b/internal/routing/mtcatalog/catalog.go
@@ -20,6 +20,9 @@
 	hosts    map[string][]*fleetv1.Route
 	accounts map[string]*fleetv1.Account
 	services map[string]*fleetv1.Service
+	// named are the accounts by their names; limited is how many have a quota.
+	named   map[string]*fleetv1.Account
+	limited int
 }
 
 // New indexes a configuration, which must not be changed afterwards.
@@ -29,6 +32,7 @@
 		hosts:    map[string][]*fleetv1.Route{},
 		accounts: map[string]*fleetv1.Account{},
 		services: map[string]*fleetv1.Service{},
+		named:    map[string]*fleetv1.Account{},
 	}
 	for _, route := range source.GetRoutes() {
 		c.hosts[route.GetHost()] = append(c.hosts[route.GetHost()], route)
@@ -39,6 +43,10 @@
 		})
 	}
 	for _, account := range source.GetAccounts() {
+		c.named[account.GetName()] = account
+		if account.GetRate() > 0 {
+			c.limited++
+		}
 		for _, key := range account.GetKeys() {
 			c.accounts[key] = account
 		}
@@ -71,6 +79,12 @@
 // Account returns the account that holds a key, or nil.
 func (c *Catalog) Account(key string) *fleetv1.Account { return c.accounts[key] }
 
+// AccountNamed returns an account by its name, or nil.
+func (c *Catalog) AccountNamed(name string) *fleetv1.Account { return c.named[name] }
+
+// Limited is the number of accounts that have a quota.
+func (c *Catalog) Limited() int { return c.limited }
+
 // Keyed says that requests need a key, unless their route is open.
 func (c *Catalog) Keyed() bool { return len(c.source.GetAccounts()) > 0 }
 
