Let an engine that crashed in its load keep its turn

Weights are named at 2, 6 and 10 s and seven engines crash at 8 s, some in the middle of their load. A plan took an engine that loads for one that has had its turn, so that the naming at 10 s gave it a new one: i-5ad0713769 was back at 11.3 s with version 1 and was ordered at 16.1 s; version 2 was 10 s old at 12.0 s. Ruled out: the queue (the six others were in time), the list (the engine was listed at 11.33 s), the store. Change: a plan keeps what was named since the version that the engine serves, and the earliest of these turns; what the engine was seen to serve drops them. Test: TestEngineThatCrashedInItsLoadIsOverdue and ...KeepsItsTurn, red before.

--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -8,6 +8,7 @@
 package mtrollout
 
 import (
+	"slices"
 	"time"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
@@ -36,6 +37,9 @@
 	patience = 0.6
 	// spreadShare is the part over which those that are put off no longer are spread.
 	spreadShare = 0.15
+	// mostNamed bounds the weights that are kept of a model: the first have the earliest
+	// turn, the last is to be loaded.
+	mostNamed = 8
 	// unbounded stands for the time allowed where the settings name none.
 	unbounded = time.Minute
 )
@@ -43,9 +47,10 @@
 // Plan is for one engine. It is not safe for concurrent use.
 type Plan struct {
 	allowed time.Duration
-	named   map[string]due
-	// waits says that the engine does not serve the named weights yet.
-	waits   map[string]bool
+	// named are the weights named of each model that the engine was not seen to serve,
+	// and the newest. serves is the version that it was last seen to serve.
+	named   map[string][]due
+	serves  map[string]int64
 	blocked time.Time
 	// turn is the last that an entry told; full is when one said that enough
 	// engines load.
@@ -68,7 +73,7 @@
 	if allowed <= 0 {
 		allowed = unbounded
 	}
-	return &Plan{allowed: allowed, named: map[string]due{}, waits: map[string]bool{}}
+	return &Plan{allowed: allowed, named: map[string][]due{}, serves: map[string]int64{}}
 }
 
 // Turn takes in the engine's turn as an entry sees it. An engine that waits follows
@@ -83,10 +88,11 @@
 	if !turn.GetLive() {
 		return
 	}
-	for model, d := range p.named {
-		if p.waits[model] {
-			d.at = earlier(p.due(), d.last.Add(p.spread()))
-			p.named[model] = d
+	for model, list := range p.named {
+		for i, d := range list {
+			if d.weights.GetVersion() > p.serves[model] {
+				list[i].at = earlier(p.due(), d.last.Add(p.spread()))
+			}
 		}
 	}
 }
@@ -127,28 +133,51 @@
 
 // Name takes in a model's newest weights. It reports whether they are news.
 func (p *Plan) Name(weights *fleetv1.Weights) bool {
-	old := p.named[weights.GetModel()]
-	if old.weights.GetVersion() >= weights.GetVersion() {
+	list := p.named[weights.GetModel()]
+	if len(list) > 0 && list[len(list)-1].weights.GetVersion() >= weights.GetVersion() {
 		return false
 	}
-	d := due{weights: weights, at: p.due(), last: time.Now().Add(p.patience())}
-	if p.waits[weights.GetModel()] && old.weights != nil && !p.load.busy {
-		// Weights that follow each other quickly must not put an engine off for
-		// ever: one that still waits for older ones keeps its turn, and skips them.
-		// One that loads them has had its turn.
-		d.at, d.last = earlier(d.at, old.at), earlier(d.last, old.last)
+	if len(list) == mostNamed {
+		list = slices.Delete(list, 1, 2)
 	}
-	p.waits[weights.GetModel()] = true
-	p.named[weights.GetModel()] = d
+	p.named[weights.GetModel()] = append(list, due{weights: weights, at: p.due(), last: time.Now().Add(p.patience())})
 	return true
 }
 
+// turnOf returns the newest weights of a model and the earliest turn of those that an
+// engine with a version lacks: weights that follow each other quickly must not put it
+// off for ever. It keeps the turn also where it was loading and crashed.
+func (p *Plan) turnOf(model string, version int64) (due, bool) {
+	list := p.named[model]
+	if len(list) == 0 || list[len(list)-1].weights.GetVersion() <= version {
+		return due{}, false
+	}
+	found := list[len(list)-1]
+	for _, d := range list {
+		if d.weights.GetVersion() > version {
+			found.at, found.last = earlier(found.at, d.at), earlier(found.last, d.last)
+		}
+	}
+	return found, true
+}
+
+// forget drops the weights that are no newer than those that the engine serves, but for
+// the newest.
+func (p *Plan) forget(model string, version int64) {
+	list := p.named[model]
+	p.serves[model] = version
+	for len(list) > 1 && list[0].weights.GetVersion() <= version {
+		list = list[1:]
+	}
+	p.named[model] = list
+}
+
 // See takes in which weights the engine serves, and whether it loads.
 func (p *Plan) See(report *fleetv1.Report) {
 	var serves int64
 	for _, m := range report.GetModels() {
 		serves += m.GetVersion()
-		p.waits[m.GetModel()] = m.GetVersion() < p.named[m.GetModel()].weights.GetVersion()
+		p.forget(m.GetModel(), m.GetVersion())
 	}
 	p.load.see(report.GetBusy(), p.Ordering(report), serves)
 }
@@ -159,8 +188,10 @@
 // Named lists the newest weights of all models.
 func (p *Plan) Named() []*fleetv1.Weights {
 	var list []*fleetv1.Weights
-	for _, d := range p.named {
-		list = append(list, d.weights)
+	for _, known := range p.named {
+		if len(known) > 0 {
+			list = append(list, known[len(known)-1].weights)
+		}
 	}
 	return list
 }
@@ -240,7 +271,7 @@
 // behind returns the turn of the first model whose weights are older than named.
 func (p *Plan) behind(report *fleetv1.Report) (due, bool) {
 	for _, m := range report.GetModels() {
-		if d, ok := p.named[m.GetModel()]; ok && m.GetVersion() < d.weights.GetVersion() {
+		if d, ok := p.turnOf(m.GetModel(), m.GetVersion()); ok {
 			return d, true
 		}
 	}
--- a/internal/relay/mtrollout/plan_test.go
+++ b/internal/relay/mtrollout/plan_test.go
@@ -229,3 +229,39 @@
 		g.Expect(plan.Until(report(2, 5, 0))).To(BeNumerically("<", 0))
 	})
 }
+
+// Failure: an engine crashes in the middle of its load, others are named while it is
+// down, and it comes back with the weights of before: it then waits for a new turn, and
+// requests begin on weights that were replaced longer ago than is allowed.
+func TestEngineThatCrashedInItsLoadIsOverdue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		plan := planned(0)
+		begun := time.Now()
+		plan.Name(named(2))
+		ordered(plan, report(1, 0, 0))
+		plan.See(loading(1))
+		time.Sleep(4 * time.Second)
+		plan.Name(named(3))
+		plan.Turn(turn(17))
+		time.Sleep(time.Second)
+		ordered(plan, report(1, 0, 0))
+		g.Expect(time.Since(begun)).To(BeNumerically("<", allowed*3/4+400*time.Millisecond))
+	})
+}
+
+// The same without a word of an entry in between.
+func TestEngineThatCrashedInItsLoadKeepsItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		plan := planned(0)
+		plan.Name(named(2))
+		ordered(plan, report(1, 0, 0))
+		plan.See(loading(1))
+		plan.Turn(&fleetv1.Turn{Place: 17, Interval: durationpb.New(pace)})
+		plan.Name(named(3))
+		time.Sleep(time.Second)
+		_, took := ordered(plan, report(1, 0, 0))
+		g.Expect(took).To(BeNumerically("<", 100*time.Millisecond))
+	})
+}
