Show operators what is used of the accounts' quotas

Cause: a 429 could not be traced: nobody saw what an account asks for, what an entry holds, or which entry allocates.

--- a/internal/admission/mtquota/status.go
+++ b/internal/admission/mtquota/status.go
@@ -4,61 +4,50 @@
 	"slices"
 	"strings"
 	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 )
 
 // overTime is how long after a refusal an account counts as over its quota.
 const overTime = 2 * time.Second
 
-// Status is what an entry holds of one account's quota.
-type Status struct {
-	account string
-	credit  int64
-	demand  float64
-	limit   float64
-	totals  [3]int64
-	over    bool
-}
-
-// Account is the account's name.
-func (s Status) Account() string { return s.account }
-
-// Credit is what the entry may admit at once.
-func (s Status) Credit() int64 { return s.credit }
-
-// Demand is the cost that its callers ask for in a second.
-func (s Status) Demand() float64 { return s.demand }
-
-// Limit is the account's rate over the whole fleet.
-func (s Status) Limit() float64 { return s.limit }
-
-// Admitted is the cost of the requests admitted since the start.
-func (s Status) Admitted() int64 { return s.totals[0] }
-
-// Refused is the cost of the requests refused since the start.
-func (s Status) Refused() int64 { return s.totals[1] }
-
-// Drawn is the credit that was granted since the start.
-func (s Status) Drawn() int64 { return s.totals[2] }
-
-// Over says that requests of the account were refused of late.
-func (s Status) Over() bool { return s.over }
-
-// Accounts lists the accounts in use, by their names.
-func (q *Quota) Accounts() []Status {
+// Usages lists the accounts in use here, by their names.
+func (q *Quota) Usages() []*fleetv1.Usage {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var list []Status
+	var list []*fleetv1.Usage
 	for _, value := range q.accounts.Range {
-		a := value.(*account)
-		list = append(list, Status{
-			account: a.name, credit: a.credit.Load(), demand: a.demand, limit: a.limit.Load().GetRate(), over: !a.exceeded.IsZero() && time.Since(a.exceeded) < overTime,
-			totals: [3]int64{a.totals.admitted.Load(), a.totals.refused.Load(), a.totals.drawn.Load()},
-		})
+		list = append(list, q.usage(value.(*account)))
 	}
-	slices.SortFunc(list, func(x, y Status) int { return strings.Compare(x.account, y.account) })
+	slices.SortFunc(list, func(x, y *fleetv1.Usage) int { return strings.Compare(x.GetAccount(), y.GetAccount()) })
 	return list
 }
 
+// Usage returns that of one account, empty where it is not in use here.
+func (q *Quota) Usage(name string) *fleetv1.Usage {
+	found, ok := q.accounts.Load(name)
+	if !ok {
+		return &fleetv1.Usage{}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.usage(found.(*account))
+}
+
+func (q *Quota) usage(a *account) *fleetv1.Usage {
+	u := &fleetv1.Usage{
+		Account: a.name, Rate: a.limit.Load().GetRate(), Demand: a.demand, Held: a.credit.Load(),
+		Admitted: a.totals.admitted.Load(), Refused: a.totals.refused.Load(), Drawn: a.totals.drawn.Load(),
+		Over: !a.exceeded.IsZero() && time.Since(a.exceeded) < overTime,
+	}
+	if s := q.shardOf(a.name); s != nil && s.lentTo != "" && !s.answered.IsZero() {
+		u.Allocator, u.Heard = s.lentTo, durationpb.New(time.Since(s.answered))
+	}
+	return u
+}
+
 // Allocator is the entry from which an account's credit is drawn, "" for none.
 func (q *Quota) Allocator(name string) string {
 	q.mu.Lock()
--- a/internal/command/mttable/fleet.go
+++ b/internal/command/mttable/fleet.go
@@ -1,6 +1,7 @@
 package mttable
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -23,7 +24,7 @@
 // fleetStatus shows what an entry on the users' platform knows.
 func fleetStatus(ctx context.Context, address string, out io.Writer) error {
 	client := fleetv1connect.NewPeerServiceClient(&http.Client{Timeout: askTime}, "http://"+address)
-	answer, err := client.Know(ctx, connect.NewRequest(&fleetv1.KnowRequest{}))
+	answer, err := client.Know(ctx, connect.NewRequest(&fleetv1.KnowRequest{Quotas: true}))
 	if err != nil {
 		return trace.ConnectionProblem(err, "no entry answers at %s; its address is the instance's and its third internal port", address)
 	}
@@ -38,6 +39,9 @@
 			s.GetStart().AsDuration().Round(time.Millisecond), s.GetRead().AsDuration().Round(100*time.Nanosecond),
 			s.GetAnswer().AsDuration().Round(time.Millisecond))
 	}
+	if err := quotas(known.GetUsages(), out); err != nil {
+		return trace.Wrap(err)
+	}
 	taken := map[string]bool{}
 	for _, charge := range known.GetCustody().GetCharges() {
 		taken[charge.GetAddress()] = charge.GetTaken()
@@ -63,6 +67,28 @@
 	return trace.Wrap(table.Flush())
 }
 
+// nearQuota is the part of its quota from which on an account is shown where it asks one
+// entry alone for so much.
+const nearQuota = 0.5
+
+// quotas shows the accounts that are over their quotas or near them.
+func quotas(usages []*fleetv1.Usage, out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	shown := false
+	for _, u := range usages {
+		if !u.GetOver() && u.GetDemand() < nearQuota*u.GetRate() {
+			continue
+		}
+		if !shown {
+			fmt.Fprintln(table, "ACCOUNT\tQUOTA/S\tASKED HERE/S\tHELD HERE\tREFUSED\tALLOCATOR\tHEARD")
+			shown = true
+		}
+		fmt.Fprintf(table, "%s\t%.0f\t%.0f\t%d\t%d\t%s\t%v ago\n", u.GetAccount(), u.GetRate(), u.GetDemand(), u.GetHeld(), u.GetRefused(),
+			cmp.Or(u.GetAllocator(), "none"), u.GetHeard().AsDuration().Round(time.Millisecond))
+	}
+	return trace.Wrap(table.Flush())
+}
+
 // orders names who gives a target its orders: its sidecar, or the entry that has taken it.
 func orders(target *fleetv1.Target, taken map[string]bool, holder string) string {
 	switch {
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -274,6 +274,9 @@
 func (f *Front) Know(_ context.Context, request *connect.Request[fleetv1.KnowRequest]) (*connect.Response[fleetv1.Knowledge], error) {
 	view := f.roster.View()
 	known := &fleetv1.Knowledge{Revision: view.Complete(), Named: f.board.Named(), Speeds: f.board.Speeds()}
+	if request.Msg.GetQuotas() {
+		known.Usages = f.quota.Usages()
+	}
 	if catalog := f.catalog.Load(); catalog != nil && catalog.Revision() > request.Msg.GetCatalog() {
 		known.Catalog = catalog.Source()
 	}
--- a/internal/relay/mtfront/quota.go
+++ b/internal/relay/mtfront/quota.go
@@ -18,11 +18,20 @@
 // the way to another data centre and back.
 const creditTime = 15 * time.Millisecond
 
+const (
+	// quotaLogTime is how often it is looked which accounts are over their quotas.
+	quotaLogTime = 500 * time.Millisecond
+	// maxMetered bounds the accounts that are among the metrics: the first that are asked
+	// for here.
+	maxMetered = 64
+)
+
 // followQuotas draws credit ahead of need until ctx ends.
 func (f *Front) followQuotas(ctx context.Context) error {
 	ticks := time.NewTicker(mtquota.TickTime)
 	defer ticks.Stop()
-	over := map[string]bool{}
+	log := &quotaLog{over: map[string]bool{}, metered: map[string]bool{}}
+	looked := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -36,7 +45,10 @@
 		for _, letter := range f.quota.Tick(limited, f.peers.open(), f.peers.list()) {
 			f.draw(letter)
 		}
-		f.logQuotas(over)
+		if time.Since(looked) > quotaLogTime {
+			looked = time.Now()
+			f.logQuotas(log)
+		}
 	}
 }
 
@@ -75,24 +87,50 @@
 	}
 }
 
-// logQuotas logs which accounts went over their quotas and came back, and counts what
-// they used.
-func (f *Front) logQuotas(over map[string]bool) {
-	for _, status := range f.quota.Accounts() {
-		if status.Over() == over[status.Account()] {
+// quotaLog is what was logged and counted of the accounts' quotas.
+type quotaLog struct {
+	// over are the accounts that were over their quotas when last looked at; metered those
+	// that are among the metrics.
+	over    map[string]bool
+	metered map[string]bool
+}
+
+// logQuotas logs which accounts went over their quotas and came back.
+func (f *Front) logQuotas(log *quotaLog) {
+	for _, usage := range f.quota.Usages() {
+		name := usage.GetAccount()
+		if !log.metered[name] && len(log.metered) < maxMetered {
+			log.metered[name] = true
+			f.meterQuota(name)
+		}
+		if usage.GetOver() == log.over[name] {
 			continue
 		}
-		over[status.Account()] = status.Over()
-		kind := mtkind.QuotaBack
-		if status.Over() {
-			kind = mtkind.QuotaExceeded
+		log.over[name] = usage.GetOver()
+		fields := []zap.Field{
+			zap.String("account", name), zap.Float64("limit", usage.GetRate()), zap.Float64("demand", usage.GetDemand()),
+			zap.Int64("held", usage.GetHeld()), zap.Int64("admitted", usage.GetAdmitted()), zap.Int64("refused", usage.GetRefused()),
+			zap.String("allocator", usage.GetAllocator()), zap.Duration("heard", usage.GetHeard().AsDuration()), zap.Int("entries", f.quota.Entries()),
+		}
+		if usage.GetOver() {
+			f.trail.Warn(mtkind.QuotaExceeded, fields...)
+		} else {
+			f.trail.Say(mtkind.QuotaBack, fields...)
 		}
-		f.trail.Warn(kind, zap.String("account", status.Account()), zap.Float64("limit", status.Limit()), zap.Float64("demand", status.Demand()),
-			zap.Int64("credit", status.Credit()), zap.Int64("admitted", status.Admitted()), zap.Int64("refused", status.Refused()),
-			zap.String("allocator", f.quota.Allocator(status.Account())), zap.Int("entries", f.quota.Entries()))
 	}
 }
 
+// meterQuota puts what is used of an account's quota among the metrics.
+func (f *Front) meterQuota(name string) {
+	gauge := func(metric string, of func(*fleetv1.Usage) int64) {
+		f.trail.Metrics().Gauge(metric+`{account="`+name+`"}`, func() int64 { return of(f.quota.Usage(name)) })
+	}
+	gauge("quota_admitted_total", (*fleetv1.Usage).GetAdmitted)
+	gauge("quota_refused_total", (*fleetv1.Usage).GetRefused)
+	gauge("quota_drawn_total", (*fleetv1.Usage).GetDrawn)
+	gauge("quota_held", (*fleetv1.Usage).GetHeld)
+}
+
 // charge takes the request's cost from its account's quota, or refuses. A request for
 // which credit is drawn is decided on by settle.
 func (r *request) charge() bool {
