Know the size of the fleet also where it starts divided

Ruled out: fewer entries heard by chance (nobody ever was), a longer cautious start (a fleet of two would have a third of its quotas for 15 s after each herd). Change: entries tell in digests how many they have seen themselves in the last 15 s, so that one that starts knows of those that fell silent before; the allocator keeps the size in the store where it has changed, and each entry reads it at its start. One more read of the store at each start. Not covered: a fleet that starts divided while the store is away as well.

--- a/internal/admission/mtquota/model_test.go
+++ b/internal/admission/mtquota/model_test.go
@@ -118,14 +118,17 @@
 	doubled float64
 	delay   time.Duration
 	divided bool
-	met     time.Time
+	// away says that the store, which keeps the size of the fleet, does not answer.
+	away bool
+	met  time.Time
 }
 
 func newFleet(seed uint64, entries int) *fleet {
 	f := &fleet{r: rand.New(rand.NewPCG(seed, seed)), delay: 1500 * time.Microsecond}
 	for i := range entries {
-		e := &entry{fleet: f, address: fmt.Sprintf("10.1.0.%d:7340", i+1), limits: map[string]*fleetv1.Account{}}
-		f.entries = append(f.entries, e)
+		f.entries = append(f.entries, &entry{fleet: f, address: fmt.Sprintf("10.1.0.%d:7340", i+1), limits: map[string]*fleetv1.Account{}})
+	}
+	for _, e := range f.entries {
 		e.start()
 	}
 	return f
@@ -149,6 +152,9 @@
 	e.down, e.frozen = false, false
 	e.quota, e.ledger = mtquota.New(e.address, bounds), mtallocator.New(bounds)
 	e.heard, e.inbox = map[*entry]time.Time{}, nil
+	if !e.fleet.away {
+		e.quota.Stored(len(e.fleet.entries))
+	}
 }
 
 // run lets the model run for a time.
@@ -187,6 +193,7 @@
 			}
 			if f.r.Float64() < float64(meetEach)/float64(heardEach) {
 				e.heard[other] = time.Now()
+				e.quota.Told(other.quota.Seen())
 			}
 		}
 		for other, last := range e.heard {
@@ -411,25 +418,41 @@
 		seed := rapid.Uint64().Draw(rt, "seed")
 		entries := rapid.SampledFrom([]int{2, 4, 10, 22, 60}).Draw(rt, "entries")
 		lost := rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(rt, "lost")
-		events := rapid.SliceOfN(rapid.IntRange(0, 11), 3, 9).Draw(rt, "events")
-		synctest.Test(t, func(*testing.T) {
-			f := newFleet(seed, entries)
-			f.lost, f.doubled = lost, lost/2
-			for i, rate := range []float64{18000, 60000, 400000} {
-				f.account(fmt.Sprint("account", i), rate, rate, rate*(0.3+6*f.r.Float64()), 0.3)
-			}
-			f.run(time.Duration(f.r.Int64N(int64(3 * time.Second))))
-			for _, event := range events {
-				f.event(event)
-				f.run(time.Duration(f.r.Int64N(int64(4 * time.Second))))
-			}
-			for _, l := range f.loads {
-				if over := l.over(); over > 0 {
-					rt.Errorf("%s: a window is %.1f%% over what is allowed", l.account.GetName(), 100*over)
-				}
+		events := rapid.SliceOfN(rapid.IntRange(0, 13), 3, 9).Draw(rt, "events")
+		for _, over := range play(t, seed, entries, lost, events) {
+			rt.Error(over)
+		}
+	})
+}
+
+// play lets events happen to a fleet under floods, and names the accounts of which more
+// was admitted in some window than is allowed.
+func play(t *testing.T, seed uint64, entries int, lost float64, events []int) []string {
+	var found []string
+	synctest.Test(t, func(*testing.T) {
+		f := newFleet(seed, entries)
+		f.lost, f.doubled = lost, lost/2
+		for i, rate := range []float64{18000, 60000, 400000} {
+			f.account(fmt.Sprint("account", i), rate, rate, rate*(0.3+6*f.r.Float64()), 0.3)
+		}
+		f.run(time.Duration(f.r.Int64N(int64(3 * time.Second))))
+		for _, event := range events {
+			f.event(event)
+			f.run(time.Duration(f.r.Int64N(int64(4 * time.Second))))
+		}
+		for _, l := range f.loads {
+			if over := l.over(); over > 0 {
+				found = append(found, fmt.Sprintf("%s: a window is %.1f%% over what is allowed", l.account.GetName(), 100*over))
 			}
-		})
+		}
 	})
+	return found
+}
+
+// Failure: a fleet that starts while it is divided: each side divides the quotas among
+// itself alone.
+func TestFleetThatStartsDivided(t *testing.T) {
+	NewWithT(t).Expect(play(t, 0x108, 2, 0, []int{6, 1, 10, 0, 0, 0, 7, 2, 5})).To(BeEmpty())
 }
 
 // event does one thing to the fleet or the load.
@@ -470,6 +493,16 @@
 		f.restart(f.entries, 300*time.Millisecond)
 		f.run(time.Duration(f.r.Int64N(int64(2 * time.Second))))
 		f.restart(f.entries, 300*time.Millisecond)
+	case 12:
+		f.divide()
+		f.restart(f.entries, 300*time.Millisecond)
+		f.run(time.Duration(f.r.Int64N(int64(8 * time.Second))))
+		f.divided = false
+	case 13:
+		f.away = true
+		f.restart(f.entries, 300*time.Millisecond)
+		f.run(time.Duration(f.r.Int64N(int64(5 * time.Second))))
+		f.away = false
 	}
 }
 
--- a/internal/admission/mtquota/quota.go
+++ b/internal/admission/mtquota/quota.go
@@ -48,6 +48,11 @@
 	asked  map[uint64]*asked
 	fleet  map[string]time.Time
 	ticked time.Time
+	// stored and told are the fleet's size as the store and other entries know it, told
+	// when another said so.
+	stored int
+	told   int
+	toldAt time.Time
 	size   atomic.Int64
 }
 
--- a/internal/admission/mtquota/tick.go
+++ b/internal/admission/mtquota/tick.go
@@ -32,6 +32,8 @@
 	// memoryTime is how long an entry that is no longer heard of counts as one of the
 	// fleet: it may be cut off and use its share.
 	memoryTime = 15 * time.Second
+	// toldTime is how long another entry's word on the size of the fleet counts.
+	toldTime = 2 * time.Second
 	// fewest is the least number of entries that are reckoned with in the first
 	// startTime.
 	fewest    = 6
@@ -115,12 +117,54 @@
 		}
 	}
 	size := len(q.fleet) + 1
-	if now.Sub(q.begun) < startTime {
+	if now.Sub(q.toldAt) < toldTime {
+		size = max(size, q.told)
+	}
+	switch age := now.Sub(q.begun); {
+	case age < memoryTime && q.stored > 0:
+		size = max(size, q.stored)
+	case age < startTime:
 		size = max(size, fewest)
 	}
 	q.size.Store(int64(size))
 }
 
+// Stored takes in the fleet's size as the store has it. An entry that starts in a divided
+// fleet never hears of the others; without it, each side would divide the quotas among
+// itself alone.
+func (q *Quota) Stored(entries int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.stored = entries
+}
+
+// Told takes in the fleet's size as another entry has seen it itself: it may remember
+// entries that fell silent before this one started.
+func (q *Quota) Told(entries int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if entries >= q.told || time.Since(q.toldAt) > toldTime {
+		q.told, q.toldAt = entries, time.Now()
+	}
+}
+
+// Seen is the fleet's size as this entry has seen it itself of late.
+func (q *Quota) Seen() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.fleet) + 1
+}
+
+// InCharge says that this entry allocates, and for how long it has.
+func (q *Quota) InCharge() (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.shards) == 0 || q.shards[0].lentTo != q.self {
+		return 0, false
+	}
+	return time.Since(q.shards[0].since), true
+}
+
 // expire gives up draws whose answers do not come.
 func (q *Quota) expire(now time.Time, stalled bool) {
 	for number, open := range q.asked {
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -156,6 +156,7 @@
 		f.spreadAll,
 		f.learnAll,
 		f.followQuotas,
+		f.keepSize,
 		f.standbys.run,
 		f.standbys.follow,
 	}
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -138,6 +138,9 @@
 		if catalog := f.catalog.Load(); catalog != nil {
 			digest.Catalog = catalog.Revision()
 		}
+		if f.limited() > 0 {
+			digest.Entries = uint32(f.quota.Seen())
+		}
 		digest.Custody, digest.Away = f.standbys.version(), f.away.Load() > 0
 		if f.board.Entries() == 0 {
 			digest.Peers = f.peers.fresh(toldPeers)
@@ -153,6 +156,9 @@
 // hearDigest takes in how far another entry knows.
 func (f *Front) hearDigest(from string, digest *fleetv1.Digest) {
 	f.peers.hear(from, digest)
+	if digest.GetEntries() > 0 {
+		f.quota.Told(int(digest.GetEntries()))
+	}
 	f.peers.see(digest.GetPeers(), f.socket.Address())
 	for _, suspect := range digest.GetSuspects() {
 		f.suspects.Crash(suspect.GetDigest(), suspect.GetSource())
