--- a/internal/admission/mtallocator/allocator.go
+++ b/internal/admission/mtallocator/allocator.go
@@ -46,9 +46,9 @@
 type Allocator struct {
 	bounds *fleetv1.Bounds
 
-	mu     sync.Mutex
-	shards map[uint32]*shard
-	looked time.Time
+	mu      sync.Mutex
+	shards  map[uint32]*shard
+	checked time.Time
 }
 
 // shard is a part of the accounts.
@@ -66,9 +66,9 @@
 
 // lender is an entry that lends its share.
 type lender struct {
-	run, before uint64
-	number      uint64
-	last        time.Time
+	run, previous uint64
+	number        uint64
+	last          time.Time
 	// left says that it has ended its lease. It stays known for the lease's time, so that
 	// an earlier draw that comes late does not begin it again.
 	left bool
@@ -85,7 +85,7 @@
 
 // New returns an allocator to which nobody has lent anything.
 func New(bounds *fleetv1.Bounds) *Allocator {
-	return &Allocator{bounds: bounds, shards: map[uint32]*shard{}, looked: time.Now()}
+	return &Allocator{bounds: bounds, shards: map[uint32]*shard{}, checked: time.Now()}
 }
 
 // Answer grants what it can of a draw, in a fleet of so many entries. It returns nil for
@@ -95,7 +95,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	a.look(now)
+	a.checkClock(now)
 	s := a.shard(draw.GetShard(), now)
 	l, known := s.lender(from, draw)
 	if l == nil {
@@ -116,11 +116,11 @@
 	return grant
 }
 
-// look begins all shards anew where the process was suspended: the steady clock says
+// checkClock begins all shards anew where the process was suspended: the steady clock says
 // that leases which ended meanwhile still hold.
-func (a *Allocator) look(now time.Time) {
-	gap := now.Round(0).Sub(a.looked.Round(0)) - now.Sub(a.looked)
-	a.looked = now
+func (a *Allocator) checkClock(now time.Time) {
+	gap := now.Round(0).Sub(a.checked.Round(0)) - now.Sub(a.checked)
+	a.checked = now
 	if gap > suspended || gap < -suspended {
 		clear(a.shards)
 	}
@@ -147,12 +147,12 @@
 		l = &lender{run: draw.GetRun(), number: draw.GetNumber(), held: map[string]float64{}}
 		s.lenders[from] = l
 		return l, false
-	case draw.GetRun() == l.before || draw.GetRun() == l.run && draw.GetNumber() <= l.number:
+	case draw.GetRun() == l.previous || draw.GetRun() == l.run && draw.GetNumber() <= l.number:
 		return nil, false
 	case draw.GetRun() != l.run:
-		before := l.run
-		s.drop(from)
-		l = &lender{run: draw.GetRun(), before: before, number: draw.GetNumber(), held: map[string]float64{}}
+		previous := l.run
+		s.remove(from)
+		l = &lender{run: draw.GetRun(), previous: previous, number: draw.GetNumber(), held: map[string]float64{}}
 		s.lenders[from] = l
 		return l, false
 	}
@@ -170,7 +170,7 @@
 	for from, l := range s.lenders {
 		switch {
 		case now.Sub(l.last) > LeaseTime:
-			s.drop(from)
+			s.remove(from)
 		case !l.left:
 			lent++
 		}
@@ -178,8 +178,8 @@
 	s.lent = min(1, float64(lent)/float64(max(entries, 1)))
 }
 
-// drop forgets a lender; the credit that it holds stays taken off.
-func (s *shard) drop(from string) {
+// remove forgets a lender; the credit that it holds stays taken off.
+func (s *shard) remove(from string) {
 	for name, held := range s.lenders[from].held {
 		s.accounts[name].held -= held
 	}
@@ -190,7 +190,7 @@
 func (s *shard) grant(l *lender, known bool, need *fleetv1.Need, account *fleetv1.Account, margin mtmargin.Margin) *fleetv1.Credit {
 	full := mtmargin.Burst(account) * s.lent
 	b := s.balance(need.GetAccount(), account)
-	b.hold(l, need)
+	b.reportHeld(l, need)
 	if known {
 		b.level += float64(max(0, need.GetReturned()))
 	}
@@ -229,8 +229,8 @@
 	return b
 }
 
-// hold takes in what a lender says that it holds.
-func (b *balance) hold(l *lender, need *fleetv1.Need) {
+// reportHeld takes in what a lender says that it holds.
+func (b *balance) reportHeld(l *lender, need *fleetv1.Need) {
 	held := float64(max(0, need.GetHeld()))
 	b.held += held - l.held[need.GetAccount()]
 	l.held[need.GetAccount()] = held
--- a/internal/admission/mtquota/account.go
+++ b/internal/admission/mtquota/account.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// takeSome takes what credit there is, and less than a cost.
-func (a *account) takeSome(cost int64) int64 {
+// takePart takes what credit there is, and less than a cost.
+func (a *account) takePart(cost int64) int64 {
 	for {
 		credit := a.credit.Load()
 		some := min(max(0, credit), cost-1)
@@ -76,8 +76,8 @@
 	}
 }
 
-// want notes what a request asks.
-func (a *account) want(cost int64) {
+// observe notes what a request asks.
+func (a *account) observe(cost int64) {
 	a.wanted.Add(cost)
 	for {
 		largest := a.largest.Load()
--- a/internal/admission/mtquota/cost_test.go
+++ b/internal/admission/mtquota/cost_test.go
@@ -41,13 +41,13 @@
 	g.Expect(lines.Err()).NotTo(HaveOccurred())
 }
 
-func BenchmarkEnter(b *testing.B) {
+func BenchmarkAdmit(b *testing.B) {
 	quota := mtquota.New("10.1.0.1:7340", bounds)
 	account := &fleetv1.Account{Name: "school", Rate: 1e15, Burst: 1e15, Unit: fleetv1.Unit_UNIT_TOKEN}
 	b.ReportAllocs()
 	b.RunParallel(func(loop *testing.PB) {
 		for loop.Next() {
-			quota.Enter(account, 1)
+			quota.Admit(account, 1)
 		}
 	})
 }
--- a/internal/admission/mtquota/model_test.go
+++ b/internal/admission/mtquota/model_test.go
@@ -35,8 +35,8 @@
 
 var bounds = &fleetv1.Bounds{Span: durationpb.New(span), Overshoot: overshoot, Surplus: surplus}
 
-// message is a datagram under way.
-type message struct {
+// datagram is one under way.
+type datagram struct {
 	at       time.Time
 	from, to *entry
 	draw     *fleetv1.Draw
@@ -55,7 +55,7 @@
 	// side is the part of a divided fleet to which it belongs.
 	side   int
 	heard  map[*entry]time.Time
-	inbox  []message
+	inbox  []datagram
 	limits map[string]*fleetv1.Account
 	ticked time.Time
 }
@@ -112,7 +112,7 @@
 	r       *rand.Rand
 	entries []*entry
 	loads   []*load
-	wire    []message
+	wire    []datagram
 	waiting []waiter
 	lost    float64
 	doubled float64
@@ -153,7 +153,7 @@
 	e.quota, e.ledger = mtquota.New(e.address, bounds), mtallocator.New(bounds)
 	e.heard, e.inbox = map[*entry]time.Time{}, nil
 	if !e.fleet.away {
-		e.quota.Stored(len(e.fleet.entries))
+		e.quota.SetStoredSize(len(e.fleet.entries))
 	}
 }
 
@@ -193,7 +193,7 @@
 			}
 			if f.r.Float64() < float64(meetEach)/float64(heardEach) {
 				e.heard[other] = time.Now()
-				e.quota.Told(other.quota.Seen())
+				e.quota.SetPeerSize(other.quota.ObservedSize())
 			}
 		}
 		for other, last := range e.heard {
@@ -215,22 +215,22 @@
 			}
 		}
 	}
-	for _, letter := range e.quota.Tick(len(e.limits), serving, live) {
-		e.send(letter)
+	for _, message := range e.quota.Tick(len(e.limits), serving, live) {
+		e.send(message)
 	}
 }
 
 // send takes a draw to its allocator.
-func (e *entry) send(letter mtquota.Letter) {
-	if letter.To() == e.address {
-		if grant := e.answer(e.address, letter.Draw()); grant != nil {
-			e.quota.Hear(e.address, grant)
+func (e *entry) send(message mtquota.Message) {
+	if message.To() == e.address {
+		if grant := e.answer(e.address, message.Draw()); grant != nil {
+			e.quota.Receive(e.address, grant)
 		}
 		return
 	}
 	for _, other := range e.fleet.entries {
-		if other.address == letter.To() {
-			e.fleet.post(message{from: e, to: other, draw: letter.Draw()})
+		if other.address == message.To() {
+			e.fleet.post(datagram{from: e, to: other, draw: message.Draw()})
 		}
 	}
 }
@@ -240,7 +240,7 @@
 }
 
 // post puts a message on the wire: lost, twice or late now and then.
-func (f *fleet) post(m message) {
+func (f *fleet) post(m datagram) {
 	if !f.reach(m.from, m.to) {
 		return
 	}
@@ -276,13 +276,13 @@
 	}
 }
 
-func (e *entry) take(m message) {
+func (e *entry) take(m datagram) {
 	if m.grant != nil {
-		e.quota.Hear(m.from.address, m.grant)
+		e.quota.Receive(m.from.address, m.grant)
 		return
 	}
 	if grant := e.answer(m.from.address, m.draw); grant != nil {
-		e.fleet.post(message{from: e, to: m.from, grant: grant})
+		e.fleet.post(datagram{from: e, to: m.from, grant: grant})
 	}
 }
 
@@ -331,9 +331,9 @@
 	if e.down || e.frozen {
 		return
 	}
-	switch v := e.quota.Enter(e.limits[l.account.GetName()], a.cost).(type) {
+	switch v := e.quota.Admit(e.limits[l.account.GetName()], a.cost).(type) {
 	case mtquota.Waiting:
-		e.send(v.Ticket.Letter())
+		e.send(v.Ticket.Message())
 		f.waiting = append(f.waiting, waiter{time.Now(), e, e.quota, l, v.Ticket, a})
 	default:
 		f.decided(l, v, a)
@@ -355,7 +355,7 @@
 		case w.entry.frozen || !answered && time.Since(w.at) < answerTime:
 			left = append(left, w)
 		default:
-			f.decided(w.load, w.quota.Settle(w.ticket), w.asked)
+			f.decided(w.load, w.quota.Resolve(w.ticket), w.asked)
 		}
 	}
 	f.waiting = left
--- a/internal/admission/mtquota/quota.go
+++ b/internal/admission/mtquota/quota.go
@@ -28,7 +28,7 @@
 	blockTime = 25 * time.Millisecond
 	// spreadTime is the least time over which those refused come back.
 	spreadTime = 400 * time.Millisecond
-	// longest bounds the time after which they are told to come back.
+	// longest bounds the time after which they are peerSize to come back.
 	longest = 10 * time.Second
 )
 
@@ -42,22 +42,22 @@
 	accounts sync.Map
 
 	// mu guards what follows; a request takes it only where credit is out.
-	mu     sync.Mutex
-	number uint64
-	shards []*shard
-	asked  map[uint64]*asked
-	fleet  map[string]time.Time
-	ticked time.Time
-	// stored and told are the fleet's size as the store and other entries know it, told
+	mu      sync.Mutex
+	number  uint64
+	shards  []*shard
+	pending map[uint64]*pending
+	fleet   map[string]time.Time
+	ticked  time.Time
+	// storedSize and peerSize are the fleet's size as the store and other entries know it, peerSize
 	// when another said so.
-	stored int
-	told   int
-	toldAt time.Time
-	size   atomic.Int64
+	storedSize int
+	peerSize   int
+	peerSizeAt time.Time
+	size       atomic.Int64
 }
 
-// asked is a draw that was sent.
-type asked struct {
+// pending is a draw that was sent.
+type pending struct {
 	shard *shard
 	to    string
 	at    time.Time
@@ -72,20 +72,20 @@
 	now := time.Now()
 	q := &Quota{
 		self: self, bounds: bounds, begun: now, ticked: now, run: rand.Uint64(),
-		asked: map[uint64]*asked{}, fleet: map[string]time.Time{},
+		pending: map[uint64]*pending{}, fleet: map[string]time.Time{},
 	}
 	q.size.Store(fewest)
 	return q
 }
 
-// Enter decides on a request of an account. After Waiting, the ticket's letter must be
-// sent and Settle called; after Admitted, Return where the request has not run.
-func (q *Quota) Enter(of *fleetv1.Account, cost int64) Verdict {
+// Admit decides on a request of an account. After Waiting, the ticket's message must be
+// sent and Resolve called; after Admitted, Refund where the request has not run.
+func (q *Quota) Admit(of *fleetv1.Account, cost int64) Verdict {
 	if of.GetRate() <= 0 {
 		return Admitted{}
 	}
 	a := q.account(of)
-	a.want(cost)
+	a.observe(cost)
 	if a.take(cost) {
 		return Admitted{}
 	}
@@ -98,10 +98,10 @@
 	return q.wait(a, cost)
 }
 
-// Settle decides on a request that waited, whether or not its draw was answered.
-func (q *Quota) Settle(t *Ticket) Verdict {
+// Resolve decides on a request that waited, whether or not its draw was answered.
+func (q *Quota) Resolve(t *Ticket) Verdict {
 	q.mu.Lock()
-	_, unanswered := q.asked[t.letter.draw.GetNumber()]
+	_, unanswered := q.pending[t.message.draw.GetNumber()]
 	granted := t.granted
 	t.left = true
 	q.mu.Unlock()
@@ -110,7 +110,7 @@
 		a.totals.admitted.Add(t.cost)
 		return Admitted{}
 	}
-	a.credit.Add(t.own)
+	a.credit.Add(t.part)
 	switch {
 	case a.take(t.cost):
 		return Admitted{}
@@ -121,8 +121,8 @@
 	}
 }
 
-// Return gives back the cost of a request that has not run.
-func (q *Quota) Return(of *fleetv1.Account, cost int64) {
+// Refund gives back the cost of a request that has not run.
+func (q *Quota) Refund(of *fleetv1.Account, cost int64) {
 	if of.GetRate() <= 0 {
 		return
 	}
@@ -146,24 +146,24 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.shardOf(a.name)
-	if s == nil || s.lentTo == "" {
+	if s == nil || s.allocator == "" {
 		return q.refuse(a, cost, blindTime, whyNobody)
 	}
-	t := &Ticket{account: a, cost: cost, own: a.takeSome(cost), done: make(chan struct{})}
-	t.letter = q.draw(s, []*fleetv1.Need{{Account: a.name, Waiting: cost - t.own}}, t)
+	t := &Ticket{account: a, cost: cost, part: a.takePart(cost), done: make(chan struct{})}
+	t.message = q.draw(s, []*fleetv1.Need{{Account: a.name, Waiting: cost - t.part}}, t)
 	return Waiting{Ticket: t}
 }
 
-// Hear takes in an allocator's answer. One that comes late, twice or from another entry
+// Receive takes in an allocator's answer. One that comes late, twice or from another entry
 // than the one that was asked is left out: its credit is lost, never counted twice.
-func (q *Quota) Hear(from string, grant *fleetv1.Grant) {
+func (q *Quota) Receive(from string, grant *fleetv1.Grant) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	open := q.asked[grant.GetNumber()]
+	open := q.pending[grant.GetNumber()]
 	if open == nil || open.to != from {
 		return
 	}
-	delete(q.asked, grant.GetNumber())
+	delete(q.pending, grant.GetNumber())
 	open.shard.heard(open)
 	for _, credit := range grant.GetCredits() {
 		q.credit(open.ticket, credit)
@@ -182,9 +182,9 @@
 	a := found.(*account)
 	amount := credit.GetAmount()
 	a.totals.drawn.Add(amount)
-	if t != nil && !t.left && amount >= t.cost-t.own {
+	if t != nil && !t.left && amount >= t.cost-t.part {
 		t.granted = true
-		amount -= t.cost - t.own
+		amount -= t.cost - t.part
 	}
 	a.credit.Add(amount)
 	if credit.GetWait() != nil {
--- /dev/null
+++ b/internal/admission/mtquota/shard_test.go
@@ -0,0 +1,65 @@
+package mtquota_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardtide/mustardtide/internal/admission/mtallocator"
+	"github.com/mustardtide/mustardtide/internal/admission/mtquota"
+)
+
+// Failure: accounts move to other shards as their number grows, and an allocator that has
+// granted a burst grants it again in another shard.
+func TestNewShardsBeginAfterTheOldLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		quota := mtquota.New("10.1.0.1:7340", bounds)
+		before := map[uint32]bool{}
+		for range 20 {
+			for _, message := range quota.Tick(10, nil, nil) {
+				before[message.Draw().GetShard()] = true
+			}
+			time.Sleep(mtquota.TickTime)
+		}
+		g.Expect(before).To(HaveLen(1))
+		changed := time.Now()
+		var first time.Duration
+		for range 40 {
+			for _, message := range quota.Tick(1000, nil, nil) {
+				if first == 0 {
+					first = time.Since(changed)
+				}
+				g.Expect(before).NotTo(HaveKey(message.Draw().GetShard()))
+			}
+			time.Sleep(mtquota.TickTime)
+		}
+		g.Expect(first).To(BeNumerically(">=", mtallocator.LeaseTime))
+		g.Expect(first).To(BeNumerically("<", 2*mtallocator.LeaseTime))
+	})
+}
+
+// Failure: an allocator that answers nobody is drawn from until it is forgotten, and all
+// requests without credit are refused.
+func TestSilentAllocatorIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		// One of the two is the other's allocator, by their addresses.
+		addresses := []string{"10.1.0.1:7340", "10.1.0.2:7340"}
+		for i, self := range addresses {
+			other := addresses[1-i]
+			quota := mtquota.New(self, bounds)
+			last := ""
+			for range 40 {
+				for _, message := range quota.Tick(1, []string{other}, []string{other}) {
+					last = message.To()
+				}
+				time.Sleep(mtquota.TickTime)
+			}
+			g.Expect(last).To(Equal(self))
+			g.Expect(quota.Entries()).To(BeNumerically(">=", 2), "the silent one may use its share")
+		}
+	})
+}
--- a/internal/admission/mtquota/status.go
+++ b/internal/admission/mtquota/status.go
@@ -42,8 +42,8 @@
 		Admitted: a.totals.admitted.Load(), Refused: a.totals.refused.Load(), Drawn: a.totals.drawn.Load(),
 		Over: !a.exceeded.IsZero() && time.Since(a.exceeded) < overTime,
 	}
-	if s := q.shardOf(a.name); s != nil && s.lentTo != "" && !s.answered.IsZero() {
-		u.Allocator, u.Heard = s.lentTo, durationpb.New(time.Since(s.answered))
+	if s := q.shardOf(a.name); s != nil && s.allocator != "" && !s.answered.IsZero() {
+		u.Allocator, u.Heard = s.allocator, durationpb.New(time.Since(s.answered))
 	}
 	return u
 }
@@ -53,7 +53,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if s := q.shardOf(name); s != nil {
-		return s.lentTo
+		return s.allocator
 	}
 	return ""
 }
--- a/internal/admission/mtquota/verdict.go
+++ b/internal/admission/mtquota/verdict.go
@@ -38,30 +38,29 @@
 type Ticket struct {
 	account *account
 	cost    int64
-	// own is the part of the cost that was taken from the entry's credit; the rest is
-	// drawn.
-	own     int64
-	letter  Letter
+	// part is what was taken from the entry's credit; the rest of the cost is drawn.
+	part    int64
+	message Message
 	done    chan struct{}
 	granted bool
 	// left says that the request no longer waits: what is granted is credit for others.
 	left bool
 }
 
-// Letter is the draw that must be sent for it.
-func (t *Ticket) Letter() Letter { return t.letter }
+// Message is the draw that must be sent for it.
+func (t *Ticket) Message() Message { return t.message }
 
 // Done is closed once the draw is answered.
 func (t *Ticket) Done() <-chan struct{} { return t.done }
 
-// Letter is a draw and the entry to which it goes.
-type Letter struct {
+// Message is a draw and the entry to which it goes.
+type Message struct {
 	to   string
 	draw *fleetv1.Draw
 }
 
 // To is the address of an entry, maybe this one.
-func (l Letter) To() string { return l.to }
+func (l Message) To() string { return l.to }
 
 // Draw is what it is asked.
-func (l Letter) Draw() *fleetv1.Draw { return l.draw }
+func (l Message) Draw() *fleetv1.Draw { return l.draw }
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -149,7 +149,7 @@
 	case *fleetv1.Word_Draw:
 		f.drawn(from, w.Draw)
 	case *fleetv1.Word_Grant:
-		f.quota.Hear(from, w.Grant)
+		f.quota.Receive(from, w.Grant)
 	}
 }
 
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -139,7 +139,7 @@
 			digest.Catalog = catalog.Revision()
 		}
 		if f.limited() > 0 {
-			digest.Entries = uint32(f.quota.Seen())
+			digest.Entries = uint32(f.quota.ObservedSize())
 		}
 		digest.Custody, digest.Away = f.standbys.version(), f.away.Load() > 0
 		if f.board.Entries() == 0 {
@@ -157,7 +157,7 @@
 func (f *Front) hearDigest(from string, digest *fleetv1.Digest) {
 	f.peers.hear(from, digest)
 	if digest.GetEntries() > 0 {
-		f.quota.Told(int(digest.GetEntries()))
+		f.quota.SetPeerSize(int(digest.GetEntries()))
 	}
 	f.peers.see(digest.GetPeers(), f.socket.Address())
 	for _, suspect := range digest.GetSuspects() {
--- a/internal/relay/mtfront/quota.go
+++ b/internal/relay/mtfront/quota.go
@@ -42,8 +42,8 @@
 		if limited == 0 {
 			continue
 		}
-		for _, letter := range f.quota.Tick(limited, f.peers.open(), f.peers.list()) {
-			f.draw(letter)
+		for _, message := range f.quota.Tick(limited, f.peers.open(), f.peers.list()) {
+			f.draw(message)
 		}
 		if time.Since(looked) > quotaLogTime {
 			looked = time.Now()
@@ -61,13 +61,13 @@
 }
 
 // draw sends a draw to its allocator, which may be this entry.
-func (f *Front) draw(letter mtquota.Letter) {
-	if letter.To() != f.socket.Address() {
-		f.words.Send(letter.To(), &fleetv1.Word{Word: &fleetv1.Word_Draw{Draw: letter.Draw()}})
+func (f *Front) draw(message mtquota.Message) {
+	if message.To() != f.socket.Address() {
+		f.words.Send(message.To(), &fleetv1.Word{Word: &fleetv1.Word_Draw{Draw: message.Draw()}})
 		return
 	}
-	if grant := f.allocate(letter.To(), letter.Draw()); grant != nil {
-		f.quota.Hear(letter.To(), grant)
+	if grant := f.allocate(message.To(), message.Draw()); grant != nil {
+		f.quota.Receive(message.To(), grant)
 	}
 }
 
@@ -132,20 +132,20 @@
 }
 
 // charge takes the request's cost from its account's quota, or refuses. A request for
-// which credit is drawn is decided on by settle.
+// which credit is drawn is decided on by resolve.
 func (r *request) charge() bool {
 	r.cost = mtquota.Cost(r.account, r.ask)
-	verdict := r.front.quota.Enter(r.account, r.cost)
+	verdict := r.front.quota.Admit(r.account, r.cost)
 	if waiting, ok := verdict.(mtquota.Waiting); ok {
 		r.ticket = waiting.Ticket
-		r.front.draw(waiting.Ticket.Letter())
+		r.front.draw(waiting.Ticket.Message())
 		return true
 	}
 	return r.charged(verdict)
 }
 
-// settle waits for drawn credit for a moment, and decides.
-func (r *request) settle(ctx context.Context) bool {
+// resolveCharge waits for drawn credit for a moment, and decides.
+func (r *request) resolveCharge(ctx context.Context) bool {
 	if r.ticket == nil {
 		return true
 	}
@@ -158,7 +158,7 @@
 	}
 	ticket := r.ticket
 	r.ticket = nil
-	return r.charged(r.front.quota.Settle(ticket))
+	return r.charged(r.front.quota.Resolve(ticket))
 }
 
 // charged notes a verdict, and answers a request that is refused.
@@ -176,12 +176,12 @@
 func (r *request) refund() {
 	if r.ticket != nil {
 		// The caller left before its body was read.
-		if _, ok := r.front.quota.Settle(r.ticket).(mtquota.Refused); ok {
+		if _, ok := r.front.quota.Resolve(r.ticket).(mtquota.Refused); ok {
 			return
 		}
 	}
 	if r.cost > 0 && !r.mayRun {
-		r.front.quota.Return(r.account, r.cost)
+		r.front.quota.Refund(r.account, r.cost)
 	}
 }
 
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -90,7 +90,7 @@
 	if !r.readBody(ctx) {
 		return
 	}
-	if !r.settle(ctx) {
+	if !r.resolveCharge(ctx) {
 		return
 	}
 	if !r.takes(ctx) {
--- a/internal/relay/mtfront/size.go
+++ b/internal/relay/mtfront/size.go
@@ -39,10 +39,10 @@
 			reads++
 			stored, read = f.readSize(ctx)
 		}
-		if size := f.quota.Seen(); size != seen {
+		if size := f.quota.ObservedSize(); size != seen {
 			seen, since = size, time.Now()
 		}
-		charge, allocates := f.quota.InCharge()
+		charge, allocates := f.quota.Allocating()
 		if allocates && min(charge, time.Since(since)) > steadyTime && seen != stored && f.writeSize(ctx, seen) {
 			stored = seen
 		}
@@ -56,7 +56,7 @@
 		f.trail.Metrics().Add("size_unread_total", 1)
 		return 0, false
 	}
-	f.quota.Stored(size)
+	f.quota.SetStoredSize(size)
 	return size, true
 }
 
