--- a/internal/admission/mtallocator/allocator_test.go
+++ b/internal/admission/mtallocator/allocator_test.go
@@ -1,6 +1,7 @@
 package mtallocator_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +158,25 @@
 		g.Expect(a.Answer("one", draw, 1, account).GetCredits()[0].GetAmount()).To(Equal(int64(5)))
 	})
 }
+
+// BenchmarkAnswer is a draw for three accounts at an allocator with 420 lenders and 1,500
+// accounts.
+func BenchmarkAnswer(b *testing.B) {
+	const lenders, accounts = 420, 1500
+	a := mtallocator.New(&fleetv1.Bounds{Span: durationpb.New(8 * time.Second), Surplus: 1e5})
+	names := make([]string, accounts)
+	known := map[string]*fleetv1.Account{}
+	for i := range names {
+		names[i] = fmt.Sprint("account-", i)
+		known[names[i]] = &fleetv1.Account{Name: names[i], Rate: 1e5, Burst: 1e5}
+	}
+	lookup := func(name string) *fleetv1.Account { return known[name] }
+	b.ReportAllocs()
+	for i := range b.N {
+		draw := &fleetv1.Draw{Run: 1, Number: uint64(i + 1)}
+		for j := range 3 {
+			draw.Needs = append(draw.Needs, &fleetv1.Need{Account: names[(i*7+j)%accounts], Ahead: 900})
+		}
+		a.Answer(names[i%lenders], draw, lenders, lookup)
+	}
+}
