--- a/internal/admission/mtquota/model_test.go
+++ b/internal/admission/mtquota/model_test.go
@@ -333,8 +333,8 @@
 	}
 	switch v := e.quota.Admit(e.limits[l.account.GetName()], a.cost).(type) {
 	case mtquota.Waiting:
-		e.send(v.Ticket.Message())
-		f.waiting = append(f.waiting, waiter{time.Now(), e, e.quota, l, v.Ticket, a})
+		e.send(v.Ticket().Message())
+		f.waiting = append(f.waiting, waiter{time.Now(), e, e.quota, l, v.Ticket(), a})
 	default:
 		f.decided(l, v, a)
 	}
--- a/internal/admission/mtquota/quota.go
+++ b/internal/admission/mtquota/quota.go
@@ -138,7 +138,7 @@
 	a.totals.refused.Add(cost)
 	fits := time.Duration(float64(cost) / a.limit.Load().GetRate() * float64(time.Second))
 	wait = min(longest, max(wait, fits))
-	return Refused{Again: wait + rand.N(max(wait, spreadTime)), Why: why}
+	return Refused{again: wait + rand.N(max(wait, spreadTime)), why: why}
 }
 
 // wait draws the cost of one request.
@@ -151,7 +151,7 @@
 	}
 	t := &Ticket{account: a, cost: cost, part: a.takePart(cost), done: make(chan struct{})}
 	t.message = q.draw(s, []*fleetv1.Need{{Account: a.name, Waiting: cost - t.part}}, t)
-	return Waiting{Ticket: t}
+	return Waiting{ticket: t}
 }
 
 // Receive takes in an allocator's answer. One that comes late, twice or from another entry
--- a/internal/admission/mtquota/verdict.go
+++ b/internal/admission/mtquota/verdict.go
@@ -13,14 +13,23 @@
 type Admitted struct{}
 
 // Waiting is a request for which credit is drawn.
-type Waiting struct{ Ticket *Ticket }
+type Waiting struct{ ticket *Ticket }
+
+// Ticket is what stands for the request until it is decided on.
+func (w Waiting) Ticket() *Ticket { return w.ticket }
 
 // Refused is a request over its account's quota, or for which no credit is to be had.
 type Refused struct {
-	Again time.Duration
-	Why   string
+	again time.Duration
+	why   string
 }
 
+// Again is when the caller should come back.
+func (r Refused) Again() time.Duration { return r.again }
+
+// Why says what was decided on.
+func (r Refused) Why() string { return r.why }
+
 // Reasons of refusals.
 const (
 	whyLarge   = "the request is larger than the quota allows at once"
--- a/internal/relay/mtfront/quota.go
+++ b/internal/relay/mtfront/quota.go
@@ -137,8 +137,8 @@
 	r.cost = mtquota.Cost(r.account, r.ask)
 	verdict := r.front.quota.Admit(r.account, r.cost)
 	if waiting, ok := verdict.(mtquota.Waiting); ok {
-		r.ticket = waiting.Ticket
-		r.front.draw(waiting.Ticket.Message())
+		r.ticket = waiting.Ticket()
+		r.front.draw(r.ticket.Message())
 		return true
 	}
 	return r.charged(verdict)
@@ -189,8 +189,8 @@
 func (r *request) exceeded(refused mtquota.Refused) {
 	r.front.trail.Metrics().Add(`rejected_total{route="`+r.route.GetName()+`"}`, 1)
 	r.front.trail.Warn(mtkind.RequestRejected, append(r.fields(), zap.Stringer("code", mtcode.RateExceeded),
-		zap.Int("status", http.StatusTooManyRequests), zap.String("why", refused.Why), zap.Duration("again", refused.Again), zap.Int64("cost", mtquota.Cost(r.account, r.ask)),
+		zap.Int("status", http.StatusTooManyRequests), zap.String("why", refused.Why()), zap.Duration("again", refused.Again()), zap.Int64("cost", mtquota.Cost(r.account, r.ask)),
 		zap.Float64("limit", r.account.GetRate()), zap.String("allocator", r.front.quota.Allocator(r.account.GetName())))...)
-	mtspeech.Refuse(r.out.Header(), refused.Again)
+	mtspeech.Refuse(r.out.Header(), refused.Again())
 	r.write(http.StatusTooManyRequests, mtcode.RateExceeded.String()+": "+mtcode.RateExceeded.Text())
 }
