Leave outdated engines out while any other is not

Entries left out engines with outdated weights only while another served the newest; version 4 was 1.8 s old and nobody served it yet, so that an engine which came back with version 1 got requests beside others that served version 3. Ruled out: the engine's turn (due at once since the plan keeps it), the sidecar's word. Change: outdated engines are left out while some usable engine's weights are in time. Test: TestOutdatedBesideOneThatIsNot, red before.

--- a/internal/placement/mtboard/board_test.go
+++ b/internal/placement/mtboard/board_test.go
@@ -122,6 +122,24 @@
 	})
 }
 
+// Failure: an engine comes back with weights that were replaced eight seconds ago, while
+// the others serve those of before the newest; requests are begun on it.
+func TestOutdatedBesideOneThatIsNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := board(2)
+		for number := int64(2); number <= 4; number++ {
+			b.Name(&fleetv1.Weights{Model: "m", Version: number, Revision: number})
+			time.Sleep(3 * time.Second)
+		}
+		b.Hear(state("e0", 1))
+		b.Hear(state("e1", 3))
+		for range 20 {
+			g.Expect(b.Choose(query(500, "q", "own")).Target()).To(Equal("e1"))
+		}
+	})
+}
+
 // A target that can't be reached is left out for a moment and then tried again;
 // one that fails a share of its requests gets few, and returns when it is well.
 func TestFaultyTargets(t *testing.T) {
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -84,10 +84,11 @@
 
 // weighing is what all candidates of one choice share.
 type weighing struct {
-	board  *Board
-	query  *Query
-	home   string
-	newest bool
+	board *Board
+	query *Query
+	home  string
+	// inTime says that a run may still begin on some target's weights.
+	inTime bool
 	// speed is that of the service's engines, slack the delay of the store of cached
 	// parts, and pays that the prompt's shared parts are worth its link.
 	speed   *mtspeed.Speed
@@ -110,7 +111,7 @@
 		w.pays = q.sharedTokens() >= saveLeast && w.slack < share(storeAims, q.aim)
 	}
 	w.home = b.home(q)
-	w.newest = b.anyNewest(q)
+	w.inTime = b.anyInTime(q)
 	w.salts = map[int64]string{}
 	w.matches = map[int64]map[string]mtholder.Match{}
 	return w
@@ -126,7 +127,7 @@
 		return l
 	}
 	c.version = c.record.weights(w.query.model())
-	if w.board.outdated(w.query.model(), c.version, w.newest) {
+	if w.board.outdated(w.query.model(), c.version, w.inTime) {
 		return lackOutdated
 	}
 	return lackNone
@@ -166,11 +167,11 @@
 	return home
 }
 
-// anyNewest says that some usable target of the service has the newest weights.
-func (b *Board) anyNewest(q *Query) bool {
-	version := b.named[q.model()].weights.GetVersion()
+// anyInTime says that a run may still begin on the weights of some usable target of the
+// service.
+func (b *Board) anyInTime(q *Query) bool {
 	for _, r := range b.services[q.service.GetName()] {
-		if r.usable() && r.weights(q.model()) >= version {
+		if r.usable() && !b.late(q.model(), r.weights(q.model())) {
 			return true
 		}
 	}
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -188,10 +188,15 @@
 	return slots > 0 && r.running+r.others() >= slots
 }
 
-// outdated says that the target's weights are too old for a run to begin on:
-// others have the newest, and the time allowed for older ones is nearly over.
-func (b *Board) outdated(model string, version int64, newest bool) bool {
-	return newest && b.named[model].behind(version) > share(oldShare, b.allowed)
+// outdated says that the target's weights are too old for a run to begin on, while those
+// of others are not.
+func (b *Board) outdated(model string, version int64, inTime bool) bool {
+	return inTime && b.late(model, version)
+}
+
+// late says that the time allowed for a version of weights is nearly over.
+func (b *Board) late(model string, version int64) bool {
+	return b.named[model].behind(version) > share(oldShare, b.allowed)
 }
 
 // older says that newer weights have been named for a while.
