--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
 
-.PHONY: build test format lint vet unit generate proofs measure overhead run-local bench docs capacity soak
+.PHONY: build test format lint vet unit generate proofs measure overhead run-local bench docs capacity soak compare
 
 build:
 	go build -o $(BIN)/ . ./cmd/...
@@ -61,3 +61,8 @@
 
 docs:
 	UPDATE=1 go test -count=1 ./internal/observe/mtcode ./internal/observe/mtkind
+
+# Variants of the system on the same days and seeds: EXPERIMENT=FILE, OUT=FOLDER,
+# FLEETBENCH=PATH; test/experiments has some.
+compare:
+	test/compare.sh $(EXPERIMENT) $(OUT)
