Log how long newer weights had been named at each send

Cause: the record of the runs on outdated weights could not tell an age that is wrong from an engine that is allowed for want of others: request-sent names version and unfit targets, not the age by which the entry judged. Ruled out: the gauge weights_named_age_ms: it is of the last naming, not of the first that an engine lacks, and is read every five seconds. Test: TestChoiceSaysHowLongNewerWeightsWereNamed.

--- a/internal/placement/mtboard/board_test.go
+++ b/internal/placement/mtboard/board_test.go
@@ -99,6 +99,18 @@
 	g.Expect(b.Choose(q).Target()).NotTo(Equal(first.Target()))
 }
 
+// Failure: the log of a send doesn't tell why an engine with older weights was allowed.
+func TestChoiceSaysHowLongNewerWeightsWereNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := board(1)
+		g.Expect(b.Choose(query(500, "q", "own")).Behind()).To(BeZero())
+		b.Name(&fleetv1.Weights{Model: "m", Version: 2, Revision: 2})
+		time.Sleep(3 * time.Second)
+		g.Expect(b.Choose(query(500, "q", "own")).Behind()).To(Equal(3 * time.Second))
+	})
+}
+
 // An engine about to load takes nothing; one whose weights are outdated neither,
 // while another has the newest; where none has, callers are served all the same.
 func TestOutdatedWeights(t *testing.T) {
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -20,6 +20,8 @@
 	address string
 
 	version int64
+	// behind is how long newer weights had been named; 0 for the newest.
+	behind  time.Duration
 	salt    string
 	fetch   string
 	matched int64
@@ -69,6 +71,9 @@
 // Version is the weights that it serves; 0 if unknown or none.
 func (c *Choice) Version() int64 { return c.version }
 
+// Behind is how long weights newer than the target's had been named; 0 for the newest.
+func (c *Choice) Behind() time.Duration { return c.behind }
+
 // Salt separates the request's cached parts from others'.
 func (c *Choice) Salt() string { return c.salt }
 
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -162,7 +162,7 @@
 func (r *request) logSent(choice *mtboard.Choice, link *mtlink.Link) {
 	r.front.trail.Say(mtkind.RequestSent, append(r.fields(),
 		zap.String("target", choice.Target()), zap.Int("try", r.tries),
-		zap.Int64("weights", choice.Version()), zap.Int64("prompt", r.ask.GetPrompt()), zap.Int64("output", r.ask.GetOutput()),
+		zap.Int64("weights", choice.Version()), zap.Duration("behind", choice.Behind()), zap.Int64("prompt", r.ask.GetPrompt()), zap.Int64("output", r.ask.GetOutput()),
 		zap.String("how", choice.How()), zap.Int64("cached", choice.Matched()), zap.String("fetch", choice.Fetch()),
 		zap.Duration("cost", choice.Cost()), zap.String("next", choice.Losers()), zap.String("unfit", choice.Unfit()), zap.Bool("kept", link.Reused()),
 		zap.Int64("configuration", r.front.catalog.Load().Version()))...)
