Tell and keep how long ago weights were named

What callers saw: answers made on weights that had run out; on the operators' record a run on weights 1 began 17 s after weights 2 were acknowledged, 12 s are allowed. Cause: each process counted a naming from when it heard of it itself. An entry that was killed and ran again took weights named 12 s before for new, and allowed engines that came back with what they had before them. It also heard of the last naming alone, so that an earlier one, which had run out first, was not known at all. Change: ages of the last versions go with named weights in greetings, states, digests and answers between entries (mtnaming): lower bounds, of which the greatest holds. A naming that nobody saw counts as a quarter of the time allowed older, until one that saw it is heard. A sidecar's plan puts a load off by the same ages. Ruled out: the want of other engines (13 had the newest weights); an unknown version (a send names the version, and another engine turns it away). Counting all that is heard in the first seconds as old: an entry that starts right after a naming would leave the fleet out. A time of day: clocks are set. The order of the store's revisions: says nothing of time.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -17,6 +17,7 @@
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/placement/mtholder"
+	"github.com/mustardtide/mustardtide/internal/placement/mtnaming"
 	"github.com/mustardtide/mustardtide/internal/placement/mtspeed"
 )
 
@@ -37,7 +38,9 @@
 	records map[string]*record
 	// services are the records by service, in the order of their hashes.
 	services map[string][]*record
-	named    map[string]naming
+	// named are the models' weights, unnamed those of a model of which nothing is known.
+	named   map[string]*mtnaming.Naming
+	unnamed *mtnaming.Naming
 	// knees are the numbers of engines of a queue above which loads of weights were
 	// seen to slow each other down.
 	knees map[queue]int
@@ -52,41 +55,6 @@
 // queue names one of the queues in which engines load weights.
 type queue struct{ service, group string }
 
-// naming are a model's newest weights, and when this process heard of each of
-// the last versions.
-type naming struct {
-	weights *fleetv1.Weights
-	heard   []version
-}
-
-type version struct {
-	number int64
-	since  time.Time
-}
-
-// namings bounds the versions that are remembered: weights are named every few
-// seconds at most, and are outdated within ten.
-const namings = 16
-
-// behind is how long it is that weights newer than a version were named; 0 if
-// there are none.
-func (n naming) behind(number int64) time.Duration {
-	for _, v := range n.heard {
-		if v.number > number {
-			return time.Since(v.since)
-		}
-	}
-	return 0
-}
-
-// age is how long ago the last weights were named; 0 if none were.
-func (n naming) age() time.Duration {
-	if len(n.heard) == 0 {
-		return 0
-	}
-	return time.Since(n.heard[len(n.heard)-1].since)
-}
-
 // record is what the entry knows of one target.
 type record struct {
 	target *fleetv1.Target
@@ -139,7 +107,8 @@
 		allowed:    allowed,
 		holders:    mtholder.New(),
 		records:    map[string]*record{},
-		named:      map[string]naming{},
+		named:      map[string]*mtnaming.Naming{},
+		unnamed:    mtnaming.New(allowed),
 		knees:      map[queue]int{},
 		speeds:     map[string]*mtspeed.Speed{},
 		delays:     map[string]*delay{},
@@ -250,19 +219,23 @@
 	}
 }
 
-// Name takes in a model's newest weights; it reports whether they are news.
+// Name takes in a model's newest weights and their ages; it reports whether they are
+// news.
 func (b *Board) Name(weights *fleetv1.Weights) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	old := b.named[weights.GetModel()]
-	if old.weights.GetVersion() >= weights.GetVersion() {
-		return false
+	if b.named[weights.GetModel()] == nil {
+		b.named[weights.GetModel()] = mtnaming.New(b.allowed)
+	}
+	return b.named[weights.GetModel()].Hear(weights)
+}
+
+// naming is what is known of a model's weights.
+func (b *Board) naming(model string) *mtnaming.Naming {
+	if naming := b.named[model]; naming != nil {
+		return naming
 	}
-	old.weights = weights
-	old.heard = append(old.heard, version{weights.GetVersion(), time.Now()})
-	old.heard = old.heard[max(0, len(old.heard)-namings):]
-	b.named[weights.GetModel()] = old
-	return true
+	return b.unnamed
 }
 
 // NamedAge is how long ago the last weights were named.
@@ -271,7 +244,7 @@
 	defer b.mu.Unlock()
 	var newest time.Duration
 	for _, n := range b.named {
-		age := n.age()
+		age := n.Age()
 		if newest == 0 || age < newest {
 			newest = age
 		}
@@ -279,13 +252,13 @@
 	return newest
 }
 
-// Named lists the newest weights of all models.
+// Named lists the newest weights of all models, with their ages.
 func (b *Board) Named() []*fleetv1.Weights {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := make([]*fleetv1.Weights, 0, len(b.named))
 	for _, n := range b.named {
-		list = append(list, n.weights)
+		list = append(list, n.Tell())
 	}
 	return list
 }
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -127,7 +127,7 @@
 		return l
 	}
 	c.version = c.record.weights(w.query.model())
-	c.behind = w.board.named[w.query.model()].behind(c.version)
+	c.behind = w.board.naming(w.query.model()).Behind(c.version)
 	if w.board.outdated(w.query.model(), c.version, w.inTime) {
 		return lackOutdated
 	}
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -196,10 +196,10 @@
 
 // late says that the time allowed for a version of weights is nearly over.
 func (b *Board) late(model string, version int64) bool {
-	return b.named[model].behind(version) > share(oldShare, b.allowed)
+	return b.naming(model).Behind(version) > share(oldShare, b.allowed)
 }
 
 // older says that newer weights have been named for a while.
 func (b *Board) older(model string, version int64) bool {
-	return b.named[model].behind(version) > olderAfter
+	return b.naming(model).Behind(version) > olderAfter
 }
--- a/internal/placement/mtboard/turns.go
+++ b/internal/placement/mtboard/turns.go
@@ -61,10 +61,10 @@
 // to end: longer, and engines wait on a heavy day for a few long answers; shorter, and
 // more of what was begun counts for nothing.
 func (b *Board) turns(service *fleetv1.Service, group string, records []*record) *mtturns.Turns {
-	naming := b.named[service.GetModel()]
+	naming := b.naming(service.GetModel())
 	knee := queue{service.GetName(), group}
-	turns := mtturns.New(b.allowed, naming.age(), b.speed(service).Answer(), b.knees[knee])
-	newest := naming.weights.GetVersion()
+	turns := mtturns.New(b.allowed, naming.Age(), b.speed(service).Answer(), b.knees[knee])
+	newest := naming.Newest().GetVersion()
 	for _, r := range records {
 		if r.replaced || r.target.GetLeaving() {
 			continue
@@ -82,7 +82,7 @@
 		}
 		turns.Put(r.target.GetId(), behind, r.state.GetOrdering(), last, time.Since(r.heard))
 	}
-	seed := uint64(naming.weights.GetRevision())
+	seed := uint64(naming.Newest().GetRevision())
 	turns.Arrange(func(id string) uint64 { return xxh3.HashStringSeed(id, seed) })
 	b.knees[knee] = turns.Knee()
 	return turns
--- /dev/null
+++ b/internal/placement/mtnaming/naming_test.go
@@ -0,0 +1,134 @@
+package mtnaming_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"pgregory.net/rapid"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/placement/mtnaming"
+)
+
+const allowed = 8 * time.Second
+
+func weights(version int64, ages ...*fleetv1.Age) *fleetv1.Weights {
+	return &fleetv1.Weights{Model: "m", Version: version, Revision: 10 * version, Ages: ages}
+}
+
+func age(version int64, of time.Duration, sure bool) *fleetv1.Age {
+	return &fleetv1.Age{Version: version, Age: durationpb.New(of), Sure: sure}
+}
+
+// Failure: a process that restarts counts from its own start.
+func TestAgeIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		old := mtnaming.New(allowed)
+		g.Expect(old.Hear(weights(2))).To(BeTrue())
+		time.Sleep(5 * time.Second)
+		fresh := mtnaming.New(allowed)
+		g.Expect(fresh.Hear(mtnaming.Listed(weights(2)))).To(BeTrue())
+		g.Expect(fresh.Hear(old.Tell())).To(BeFalse())
+		time.Sleep(time.Second)
+		g.Expect(fresh.Behind(1)).To(Equal(6 * time.Second))
+		g.Expect(fresh.Behind(2)).To(BeZero())
+		g.Expect(fresh.Age()).To(Equal(6 * time.Second))
+	})
+}
+
+// Failure: of two namings only the last is known, and what ran out with the first is
+// allowed anew.
+func TestEarlierNamingIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		old := mtnaming.New(allowed)
+		old.Hear(weights(2))
+		time.Sleep(6 * time.Second)
+		old.Hear(weights(3))
+		time.Sleep(time.Second)
+		fresh := mtnaming.New(allowed)
+		fresh.Hear(mtnaming.Listed(weights(3)))
+		fresh.Hear(old.Tell())
+		g.Expect(fresh.Behind(1)).To(Equal(7 * time.Second))
+		g.Expect(fresh.Behind(2)).To(Equal(time.Second))
+	})
+}
+
+// Failure: a naming that nobody saw is taken for new, or the guess at its age is passed
+// on and makes it older at each process.
+func TestUnseenNamingIsTakenForOlder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		first, second := mtnaming.New(allowed), mtnaming.New(allowed)
+		first.Hear(mtnaming.Listed(weights(2)))
+		second.Hear(first.Tell())
+		first.Hear(second.Tell())
+		for _, n := range []*mtnaming.Naming{first, second} {
+			g.Expect(n.Behind(1)).To(Equal(2 * time.Second))
+			n.Hear(weights(2, age(2, time.Second, true)))
+			g.Expect(n.Behind(1)).To(Equal(time.Second))
+		}
+	})
+}
+
+// Failure: versions whose time is over fill datagrams.
+func TestVersionsThatMatterAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := mtnaming.New(allowed)
+		for version := int64(1); version <= 40; version++ {
+			n.Hear(weights(version))
+			time.Sleep(3 * time.Second)
+		}
+		g.Expect(n.Tell().GetAges()).To(HaveLen(4))
+		g.Expect(n.Behind(1)).To(BeNumerically(">", allowed))
+		g.Expect(n.Behind(39)).To(Equal(3 * time.Second))
+	})
+}
+
+// Failure: passed around among processes that restart, an age grows beyond the truth, or
+// a process makes its own younger by what another tells.
+func TestAgeIsALowerBoundThatGrows(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, processes*(processes+1)-1), 1, 60).Draw(rt, "steps")
+		synctest.Test(t, func(*testing.T) {
+			if failure := pass(steps); failure != "" {
+				rt.Fatal(failure)
+			}
+		})
+	})
+}
+
+// processes is how many pass ages to each other.
+const processes = 3
+
+// pass lets a process tell another what it knows, or restart, at each step. The first
+// heard of the naming itself.
+func pass(steps []int) (failure string) {
+	g := NewGomega(func(message string, _ ...int) { failure = message })
+	named := time.Now()
+	fleet := make([]*mtnaming.Naming, processes)
+	for i := range fleet {
+		fleet[i] = mtnaming.New(allowed)
+	}
+	fleet[0].Hear(weights(1))
+	for _, step := range steps {
+		time.Sleep(100 * time.Millisecond)
+		from, to := step%processes, step/processes
+		if to == processes {
+			fleet[from] = mtnaming.New(allowed)
+			continue
+		}
+		before := fleet[to].Age()
+		if told := fleet[from].Tell(); told != nil {
+			fleet[to].Hear(told)
+		}
+		g.Expect(fleet[to].Age()).To(BeNumerically(">=", before))
+		g.Expect(fleet[to].Age()).To(BeElementOf(time.Duration(0), time.Since(named)))
+	}
+	return failure
+}
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -16,6 +16,7 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/observe/mttrail"
 	"github.com/mustardtide/mustardtide/internal/placement/mtdirectory"
+	"github.com/mustardtide/mustardtide/internal/placement/mtnaming"
 	"github.com/mustardtide/mustardtide/internal/prefix/mtheld"
 	"github.com/mustardtide/mustardtide/internal/relay/mtgate"
 	"github.com/mustardtide/mustardtide/internal/relay/mtports"
@@ -147,7 +148,7 @@
 		s.mu.Lock()
 		for _, change := range list {
 			if !change.Gone() {
-				s.name(change.Value(), "store")
+				s.name(mtnaming.Listed(change.Value()), "store")
 			}
 		}
 		s.mu.Unlock()
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -149,7 +149,9 @@
 		func(ctx context.Context) error {
 			return mtfollow.Follow(ctx, f.store.Catalogs(), &catalogs{follower{f}})
 		},
-		func(ctx context.Context) error { return mtfollow.Follow(ctx, f.store.Weights(), &weights{follower{f}}) },
+		func(ctx context.Context) error {
+			return mtfollow.Follow(ctx, f.store.Weights(), &weights{follower: follower{f}})
+		},
 		func(ctx context.Context) error { return f.socket.Serve(ctx, f.hear) },
 		f.greet,
 		f.sweep,
@@ -157,6 +159,7 @@
 		f.learnAll,
 		f.followQuotas,
 		f.keepSize,
+		f.keepNamings,
 		f.standbys.run,
 		f.standbys.follow,
 	}
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -8,6 +8,7 @@
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/placement/mtnaming"
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
 	"github.com/mustardtide/mustardtide/platform/mtobjects"
 )
@@ -168,24 +169,37 @@
 }
 
 // weights takes in the named weights of models.
-type weights struct{ follower }
+type weights struct {
+	follower
+	// watched says that the changes that come were made just now.
+	watched bool
+}
 
 // Replace gets the complete list.
 func (s *weights) Replace(list []mtobjects.Change[*fleetv1.Weights], revision int64) {
+	s.watched = false
 	s.Changes(list, revision)
 }
 
 // Changes gets models' newest weights, and tells the sidecars at once.
 func (s *weights) Changes(changes []mtobjects.Change[*fleetv1.Weights], _ int64) {
 	for _, change := range changes {
-		if !change.Gone() {
+		switch {
+		case change.Gone():
+		case s.watched:
 			s.front.named(change.Value(), "store")
+		default:
+			s.front.named(mtnaming.Listed(change.Value()), "store")
 		}
 	}
+	s.watched = true
 }
 
-// Away keeps what was named.
-func (s *weights) Away(err error) { s.front.lost("weights", err) }
+// Away keeps what was named. What comes after it may have been named long before.
+func (s *weights) Away(err error) {
+	s.watched = false
+	s.front.lost("weights", err)
+}
 
 // Back says that the store answers.
 func (s *weights) Back() { s.front.back("weights") }
@@ -195,7 +209,7 @@
 		return
 	}
 	f.trail.Say(mtkind.WeightsNamed, zap.String("model", named.GetModel()), zap.Int64("version", named.GetVersion()),
-		zap.Int64("revision", named.GetRevision()), zap.String("from", source))
+		zap.Int64("revision", named.GetRevision()), zap.Duration("age", f.board.NamedAge()), zap.String("from", source))
 	f.hurry()
 }
 
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -93,6 +93,12 @@
 	return f.before(f.peers.reaching()) < quick
 }
 
+// first says that the entry is the one that does what one does for all: the first of
+// those that take requests and reach the store.
+func (f *Front) first() bool {
+	return f.away.Load() == 0 && f.closing.Load() == nil && f.before(f.peers.serving()) == 0
+}
+
 // entries is the number of live entries: as the sidecars have counted them, or as they
 // are heard of where there are no sidecars.
 func (f *Front) entries() int { return max(f.board.Entries(), f.peers.count()+1) }
@@ -143,7 +149,7 @@
 		}
 		digest.Custody, digest.Away = f.standbys.version(), f.away.Load() > 0
 		if f.board.Entries() == 0 {
-			digest.Peers = f.peers.fresh(toldPeers)
+			digest.Peers, digest.Named = f.peers.fresh(toldPeers), f.board.Named()
 		}
 		if closing := f.closing.Load(); closing != nil {
 			digest.Left = durationpb.New(max(0, closing.Left(time.Now())))
@@ -166,6 +172,9 @@
 	for _, speed := range digest.GetSpeeds() {
 		f.adopt(speed, "entry "+digest.GetEntry())
 	}
+	for _, weights := range digest.GetNamed() {
+		f.named(weights, "entry "+digest.GetEntry())
+	}
 	if f.knowsLess(digest) {
 		select {
 		case f.learn <- ahead{from, digest}:
--- a/internal/relay/mtfront/standbys.go
+++ b/internal/relay/mtfront/standbys.go
@@ -140,7 +140,7 @@
 		Gone:   gone,
 		Heard:  func(address string) bool { return f.board.Spoke(address) < spokeTime },
 		Listed: listed.Listed,
-		First:  f.away.Load() == 0 && f.closing.Load() == nil && f.before(f.peers.serving()) == 0,
+		First:  f.first(),
 		Live:   func(entry string) bool { return live[entry] },
 	}
 }
--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -12,6 +12,7 @@
 	"time"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/placement/mtnaming"
 )
 
 const (
@@ -48,8 +49,10 @@
 type Plan struct {
 	allowed time.Duration
 	// named are the weights named of each model that the engine was not seen to serve,
-	// and the newest. serves is the version that it was last seen to serve.
+	// and the newest; namings are their ages. serves is the version that it was last seen
+	// to serve.
 	named   map[string][]due
+	namings map[string]*mtnaming.Naming
 	serves  map[string]int64
 	blocked time.Time
 	// turn is the last that an entry told; full is when one said that enough
@@ -59,12 +62,10 @@
 	load load
 }
 
-// due is when new weights are to be ordered; last is until when that may be put
-// off.
+// due is when new weights are to be ordered.
 type due struct {
 	weights *fleetv1.Weights
 	at      time.Time
-	last    time.Time
 }
 
 // New returns a plan without weights; allowed is the time after their naming in
@@ -73,7 +74,7 @@
 	if allowed <= 0 {
 		allowed = unbounded
 	}
-	return &Plan{allowed: allowed, named: map[string][]due{}, serves: map[string]int64{}}
+	return &Plan{allowed: allowed, named: map[string][]due{}, namings: map[string]*mtnaming.Naming{}, serves: map[string]int64{}}
 }
 
 // Turn takes in the engine's turn as an entry sees it. An engine that waits follows
@@ -91,12 +92,27 @@
 	for model, list := range p.named {
 		for i, d := range list {
 			if d.weights.GetVersion() > p.serves[model] {
-				list[i].at = earlier(p.due(), d.last.Add(p.spread()))
+				list[i].at = p.at(model)
 			}
 		}
 	}
 }
 
+// at is when an engine with the last turn told is to be ordered to load a model's newest
+// weights.
+func (p *Plan) at(model string) time.Time {
+	serves, seen := p.serves[model]
+	if !seen {
+		serves = p.namings[model].Newest().GetVersion() - 1
+	}
+	return earlier(p.due(), p.last(model, serves).Add(p.spread()))
+}
+
+// last is until when the load of an engine with a version may be put off.
+func (p *Plan) last(model string, version int64) time.Time {
+	return time.Now().Add(time.Duration(patience*float64(p.allowed)) - p.namings[model].Behind(version))
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -131,16 +147,21 @@
 	return min(longestLead, max(shortestLead, p.turn.GetLead().AsDuration()))
 }
 
-// Name takes in a model's newest weights. It reports whether they are news.
+// Name takes in a model's newest weights and their ages. It reports whether they are
+// news.
 func (p *Plan) Name(weights *fleetv1.Weights) bool {
-	list := p.named[weights.GetModel()]
-	if newest(list).GetVersion() >= weights.GetVersion() {
+	model := weights.GetModel()
+	if p.namings[model] == nil {
+		p.namings[model] = mtnaming.New(p.allowed)
+	}
+	if !p.namings[model].Hear(weights) {
 		return false
 	}
+	list := p.named[model]
 	if len(list) == mostNamed {
 		list = slices.Delete(list, 1, 2)
 	}
-	p.named[weights.GetModel()] = append(list, due{weights: weights, at: p.due(), last: time.Now().Add(p.patience())})
+	p.named[model] = append(list, due{weights: weights, at: p.at(model)})
 	return true
 }
 
@@ -155,7 +176,7 @@
 	found := list[len(list)-1]
 	for _, d := range list {
 		if d.weights.GetVersion() > version {
-			found.at, found.last = earlier(found.at, d.at), earlier(found.last, d.last)
+			found.at = earlier(found.at, d.at)
 		}
 	}
 	return found, true
@@ -193,11 +214,11 @@
 // Load is the last load of weights that was seen.
 func (p *Plan) Load() *fleetv1.Load { return p.load.tell() }
 
-// Named lists the newest weights of all models.
+// Named lists the newest weights of all models, with their ages.
 func (p *Plan) Named() []*fleetv1.Weights {
 	var list []*fleetv1.Weights
-	for _, known := range p.named {
-		list = append(list, newest(known))
+	for _, naming := range p.namings {
+		list = append(list, naming.Tell())
 	}
 	return list
 }
@@ -208,30 +229,27 @@
 	if report.GetBusy() {
 		return true
 	}
-	d, ok := p.behind(report)
+	d, last, ok := p.behind(report)
 	if !ok || !time.Now().After(p.blocked) {
 		return false
 	}
-	return p.load.waiting() || p.come(d)
+	return p.load.waiting() || p.come(d, last)
 }
 
 // come says that an engine's turn has come. While enough others load it is put
-// off for a while: loads would take longer, and too few engines would serve.
-func (p *Plan) come(d due) bool {
+// off until last: loads would take longer, and too few engines would serve.
+func (p *Plan) come(d due, last time.Time) bool {
 	now := time.Now()
 	if now.Before(d.at.Add(-p.lead())) {
 		return false
 	}
-	return now.Sub(p.full) > fullTime || now.After(d.last)
+	return now.Sub(p.full) > fullTime || now.After(last)
 }
 
-// patience is how long after the naming of weights a turn may be put off.
-func (p *Plan) patience() time.Duration { return time.Duration(patience * float64(p.allowed)) }
-
 // Until is how long nothing changes by itself; 0 where something is due now, and
 // less than zero where no turn is coming.
 func (p *Plan) Until(report *fleetv1.Report) time.Duration {
-	d, ok := p.behind(report)
+	d, _, ok := p.behind(report)
 	if !ok {
 		return -1
 	}
@@ -241,7 +259,7 @@
 // Next returns the order that is to be sent now, or nil. An idle engine's is due
 // as soon as Ordering says so; its sidecar lets the entries know first.
 func (p *Plan) Next(report *fleetv1.Report) *fleetv1.Swap {
-	d, ok := p.behind(report)
+	d, _, ok := p.behind(report)
 	if !ok || report.GetBusy() || !p.Ordering(report) {
 		return nil
 	}
@@ -274,12 +292,13 @@
 // Refused notes that the engine did not take the order.
 func (p *Plan) Refused() { p.blocked = time.Now().Add(failedTime) }
 
-// behind returns the turn of the first model whose weights are older than named.
-func (p *Plan) behind(report *fleetv1.Report) (due, bool) {
+// behind returns the turn of the first model whose weights are older than named, and
+// until when it may be put off.
+func (p *Plan) behind(report *fleetv1.Report) (due, time.Time, bool) {
 	for _, m := range report.GetModels() {
 		if d, ok := p.turnOf(m.GetModel(), m.GetVersion()); ok {
-			return d, true
+			return d, p.last(m.GetModel(), m.GetVersion()), true
 		}
 	}
-	return due{}, false
+	return due{}, time.Time{}, false
 }
