Begin no run after the time allowed for its weights

What callers saw: where every engine was outdated, requests ran on outdated weights all the same, and where engines were busy a request that was sent in time waited there until its weights' time was over. Cause: outdated engines are left out only while another is in time, and the age at the send was compared, not that at the expected begin. Change: a candidate whose run would begin after 0.95 of the time allowed is none. The counts in the refusal are made as the choice is. The age of a candidate's weights is worked out once, not three times. Ruled out: leaving all engines out from 0.8 on: in between, callers are served in time. Evidence: TestNothingBeginsAfterTheTimeAllowed and TestWaitIsPartOfTheTimeAllowed, both red before.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -99,6 +99,10 @@
 // may still be sent to them: what is sent may wait before it begins.
 const oldShare = 0.8
 
+// endShare is the part in which a run must begin even where no other target can take it:
+// the rest is for its way, and for an estimate that is a little short.
+const endShare = 0.95
+
 // New returns an empty board for an entry of a data centre; allowed is the time
 // after the naming of new weights in which a run may begin on older ones.
 func New(datacentre string, allowed time.Duration) *Board {
--- a/internal/placement/mtboard/board_test.go
+++ b/internal/placement/mtboard/board_test.go
@@ -99,6 +99,38 @@
 	g.Expect(b.Choose(q).Target()).NotTo(Equal(first.Target()))
 }
 
+// Failure: where every engine is outdated, requests begin on weights whose time is over.
+func TestNothingBeginsAfterTheTimeAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := board(2)
+		b.Name(&fleetv1.Weights{Model: "m", Version: 2, Revision: 2})
+		time.Sleep(7 * time.Second)
+		g.Expect(b.Choose(query(500, "q", "own"))).NotTo(BeNil())
+		time.Sleep(time.Second)
+		late := query(500, "q", "own")
+		g.Expect(b.Choose(late)).To(BeNil())
+		g.Expect(b.Lacks(late)).To(Equal("2 known: 2 with outdated weights"))
+		b.Hear(state("e1", 2))
+		g.Expect(b.Choose(late).Target()).To(Equal("e1"))
+	})
+}
+
+// Failure: a request waits behind others' prompts until the weights' time is over.
+func TestWaitIsPartOfTheTimeAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := board(1)
+		b.Name(&fleetv1.Weights{Model: "m", Version: 2, Revision: 2})
+		time.Sleep(6 * time.Second)
+		g.Expect(b.Choose(query(500, "q", "own"))).NotTo(BeNil())
+		busy := state("e0", 1)
+		busy.Pending = 200_000
+		b.Hear(busy)
+		g.Expect(b.Choose(query(500, "q", "own"))).To(BeNil())
+	})
+}
+
 // Failure: the log of a send doesn't tell why an engine with older weights was allowed.
 func TestChoiceSaysHowLongNewerWeightsWereNamed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -67,6 +67,9 @@
 				w.board.without.leave(&c.bill)
 				c.cost = c.bill.sum()
 				c.current = w.query.current(r)
+				if w.board.expires(&c) {
+					l = lackOutdated
+				}
 			}
 			if !yield(&c, l) {
 				return
@@ -128,7 +131,7 @@
 	}
 	c.version = c.record.weights(w.query.model())
 	c.behind = w.board.naming(w.query.model()).Behind(c.version)
-	if w.board.outdated(w.query.model(), c.version, w.inTime) {
+	if w.inTime && w.board.late(c.behind) {
 		return lackOutdated
 	}
 	return lackNone
@@ -172,7 +175,7 @@
 // service.
 func (b *Board) anyInTime(q *Query) bool {
 	for _, r := range b.services[q.service.GetName()] {
-		if r.usable() && !b.late(q.model(), r.weights(q.model())) {
+		if r.usable() && !b.late(b.naming(q.model()).Behind(r.weights(q.model()))) {
 			return true
 		}
 	}
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -84,7 +84,7 @@
 	}
 	c.bill[itemWaste] = speed.Tokens(wasteShare * float64(wasted(c, matches)))
 	c.bill[itemCopy] = speed.Tokens(copyShare * float64(fetched))
-	if b.older(q.model(), c.version) {
+	if c.behind > olderAfter {
 		c.bill[itemOlder] = share(olderShare, q.aim)
 	}
 	if r.full(q) {
@@ -188,18 +188,12 @@
 	return slots > 0 && r.running+r.others() >= slots
 }
 
-// outdated says that the target's weights are too old for a run to begin on, while those
-// of others are not.
-func (b *Board) outdated(model string, version int64, inTime bool) bool {
-	return inTime && b.late(model, version)
-}
-
-// late says that the time allowed for a version of weights is nearly over.
-func (b *Board) late(model string, version int64) bool {
-	return b.naming(model).Behind(version) > share(oldShare, b.allowed)
-}
+// late says that the time allowed for weights is nearly over, where newer ones were named
+// so long ago: their target is left out while another's are in time.
+func (b *Board) late(behind time.Duration) bool { return behind > share(oldShare, b.allowed) }
 
-// older says that newer weights have been named for a while.
-func (b *Board) older(model string, version int64) bool {
-	return b.naming(model).Behind(version) > olderAfter
+// expires says that a run would begin after the time allowed for its weights. Nobody is
+// served by it then, and a caller that is refused finds engines that have loaded.
+func (b *Board) expires(c *Choice) bool {
+	return b.allowed > 0 && c.behind > 0 && c.behind+c.expected > share(endShare, b.allowed)
 }
--- a/internal/placement/mtboard/why.go
+++ b/internal/placement/mtboard/why.go
@@ -76,11 +76,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var all unfit
-	records := b.services[q.service.GetName()]
-	w := b.weighing(q)
-	for _, r := range records {
-		c := w.candidate(r)
-		all[w.lack(&c)]++
+	known := 0
+	for _, l := range b.weighing(q).candidates() {
+		all[l]++
+		known++
 	}
-	return fmt.Sprintf("%d known: %s", len(records), all.String())
+	return fmt.Sprintf("%d known: %s", known, all.String())
 }
--- a/internal/placement/mtnaming/naming.go
+++ b/internal/placement/mtnaming/naming.go
@@ -96,13 +96,16 @@
 // Behind is how long it is that weights newer than a version were named; 0 if there are
 // none.
 func (n *Naming) Behind(number int64) time.Duration {
-	var most time.Duration
+	var first time.Time
 	for _, v := range n.versions {
-		if v.number > number {
-			most = max(most, n.age(v))
+		if at := n.namedAt(v); v.number > number && (first.IsZero() || at.Before(first)) {
+			first = at
 		}
 	}
-	return most
+	if first.IsZero() {
+		return 0
+	}
+	return time.Since(first)
 }
 
 // Age is how long ago the newest weights were named; 0 if none were.
@@ -110,15 +113,15 @@
 	if len(n.versions) == 0 {
 		return 0
 	}
-	return n.age(n.versions[len(n.versions)-1])
+	return time.Since(n.namedAt(n.versions[len(n.versions)-1]))
 }
 
-func (n *Naming) age(v version) time.Duration {
-	age := time.Since(v.since)
-	if !v.sure {
-		age += time.Duration(doubtShare * float64(n.allowed))
+// namedAt is when a version is taken to have been named.
+func (n *Naming) namedAt(v version) time.Time {
+	if v.sure {
+		return v.since
 	}
-	return age
+	return v.since.Add(-time.Duration(doubtShare * float64(n.allowed)))
 }
 
 // Newest are the last weights that were named, nil for none.
