Leave out targets that say in an answer that they leave

What callers saw: requests went on to an engine that was about to go, for 12 s in the record, while the store was silent; one that goes in the middle cuts them. Cause: an entry knew of leaving targets from the store's list alone. The class: a fact that a target tells itself, waited for from a third party. Change: the header is decoded in the adapter; the entry that has the answer notes the target (mtdeparture), with the start of its program. The note is kept beside the list, not on the listed target, so that an entry that lapses, comes back or names it ready changes nothing; it ends only with a later start under the same id, which the target's entry and its sidecar's reports tell (born is read from the entry now). Choices, turns of loads and the search for missing sidecars take it as they take the list's word. target-leaving is logged with from="its answer". Ruled out: a time after which it is forgotten; a flag on the listed target; the id in the answer against the one that was asked: another program's word is noted for that program. Not built: telling other entries of an answer; each hears its own, or the store.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/xxh3"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/placement/mtdeparture"
 	"github.com/mustardtide/mustardtide/internal/placement/mtholder"
 	"github.com/mustardtide/mustardtide/internal/placement/mtnaming"
 	"github.com/mustardtide/mustardtide/internal/placement/mtspeed"
@@ -36,6 +37,8 @@
 
 	mu      sync.Mutex
 	records map[string]*record
+	// departures are the targets that have said that they leave.
+	departures *mtdeparture.Departures
 	// services are the records by service, in the order of their hashes.
 	services map[string][]*record
 	// named are the models' weights, unnamed those of a model of which nothing is known.
@@ -57,6 +60,7 @@
 
 // record is what the entry knows of one target.
 type record struct {
+	board  *Board
 	target *fleetv1.Target
 	hash   uint64
 
@@ -111,6 +115,7 @@
 		allowed:    allowed,
 		holders:    mtholder.New(),
 		records:    map[string]*record{},
+		departures: mtdeparture.New(),
 		named:      map[string]*mtnaming.Naming{},
 		unnamed:    mtnaming.New(allowed),
 		knees:      map[queue]int{},
@@ -131,9 +136,10 @@
 		}
 	}
 	for id, target := range targets {
+		b.departures.Started(id, target.GetBorn())
 		r := b.records[id]
 		if r == nil {
-			b.records[id] = &record{target: target, hash: xxh3.HashString(id), spoke: time.Now()}
+			b.records[id] = &record{board: b, target: target, hash: xxh3.HashString(id), spoke: time.Now()}
 			continue
 		}
 		if r.target.GetAddress() != target.GetAddress() {
@@ -155,6 +161,7 @@
 	if r == nil {
 		return
 	}
+	b.departures.Started(state.GetTarget(), state.GetReport().GetBorn())
 	if old := r.state; old != nil && old.GetReport().GetBorn() != state.GetReport().GetBorn() {
 		// The engine has started again under its id: its cache is empty.
 		b.holders.Forget(state.GetTarget())
@@ -176,7 +183,7 @@
 	defer b.mu.Unlock()
 	var list []*fleetv1.Target
 	for _, r := range b.records {
-		if len(r.target.GetModels()) > 0 && !r.replaced && !r.target.GetLeaving() && time.Since(r.spoke) > silence {
+		if len(r.target.GetModels()) > 0 && !r.replaced && !r.leaves() && time.Since(r.spoke) > silence {
 			list = append(list, r.target)
 		}
 	}
@@ -286,6 +293,16 @@
 	return r.state != nil && time.Since(r.heard) < stateTime
 }
 
+// leaves says that the target leaves, by its entry in the store or by its own word.
+func (r *record) leaves() bool {
+	return r.target.GetLeaving() || r.board.departures.Has(r.target.GetId())
+}
+
+// born is the start of the target's program in Unix milliseconds; 0 where it is not known.
+func (r *record) born() int64 {
+	return max(r.target.GetBorn(), r.state.GetReport().GetBorn())
+}
+
 // weights returns the version that the target serves of a model; 0 if unknown.
 func (r *record) weights(model string) int64 {
 	var version int64
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -180,6 +180,18 @@
 	}
 }
 
+// Leaves takes in an answer that says that its target leaves. It returns that target, and
+// whether it is news: another program may answer at the address.
+func (c *Choice) Leaves(answer *fleetv1.Answer) (string, bool) {
+	c.board.mu.Lock()
+	defer c.board.mu.Unlock()
+	id, born := c.id, c.record.born()
+	if other := answer.GetTarget(); other != "" && other != id {
+		id, born = other, 0
+	}
+	return id, c.board.departures.Note(id, born)
+}
+
 // End notes how the send ended.
 func (c *Choice) End(outcome Outcome) {
 	c.board.mu.Lock()
--- a/internal/placement/mtboard/turns.go
+++ b/internal/placement/mtboard/turns.go
@@ -66,7 +66,7 @@
 	turns := mtturns.New(b.allowed, naming.Age(), b.speed(service).Answer(), b.knees[knee])
 	newest := naming.Newest().GetVersion()
 	for _, r := range records {
-		if r.replaced || r.target.GetLeaving() {
+		if r.replaced || r.leaves() {
 			continue
 		}
 		if !r.fresh() {
--- a/internal/placement/mtboard/why.go
+++ b/internal/placement/mtboard/why.go
@@ -35,7 +35,7 @@
 // lack says what keeps the target from being given requests at all.
 func (r *record) lack() lack {
 	switch {
-	case r.target.GetLeaving():
+	case r.leaves():
 		return lackLeaving
 	case r.misplaced:
 		return lackMisplaced
--- /dev/null
+++ b/internal/placement/mtdeparture/departures_test.go
@@ -0,0 +1,56 @@
+package mtdeparture_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardtide/mustardtide/internal/placement/mtdeparture"
+)
+
+// Failure: news of the start of the program that leaves, told late or again, takes back
+// its word.
+func TestOnlyALaterStartTakesBackALeave(t *testing.T) {
+	g := NewWithT(t)
+	d := mtdeparture.New()
+	g.Expect(d.Note("a", 100)).To(BeTrue())
+	g.Expect(d.Note("a", 100)).To(BeFalse())
+	for _, born := range []int64{0, 100, 90} {
+		d.Started("a", born)
+		g.Expect(d.Has("a")).To(BeTrue())
+	}
+	d.Started("a", 101)
+	g.Expect(d.Has("a")).To(BeFalse())
+	g.Expect(d.Note("a", 101)).To(BeTrue())
+}
+
+// Failure: a target whose start was not known when it said that it leaves is used again
+// once its start is told.
+func TestFirstStartIsThatOfTheProgramThatLeaves(t *testing.T) {
+	g := NewWithT(t)
+	d := mtdeparture.New()
+	d.Note("a", 0)
+	d.Started("a", 100)
+	g.Expect(d.Has("a")).To(BeTrue())
+	d.Started("a", 200)
+	g.Expect(d.Has("a")).To(BeFalse())
+}
+
+// Failure: targets that left long ago fill the memory of a process that runs for weeks.
+func TestOldestDepartureIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d := mtdeparture.New()
+		for i := range 5000 {
+			d.Note(fmt.Sprint(i), 1)
+			time.Sleep(time.Millisecond)
+		}
+		g.Expect(d.Has("0")).To(BeFalse())
+		g.Expect(d.Has("903")).To(BeFalse())
+		g.Expect(d.Has("904")).To(BeTrue())
+		g.Expect(d.Has("4999")).To(BeTrue())
+	})
+}
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -65,6 +65,9 @@
 		return r.lost(ctx, choice, link, err)
 	}
 	answer := mtspeech.DecodeAnswer(response.StatusCode, response.Header)
+	if answer.GetLeaving() {
+		r.heardLeaving(choice, answer)
+	}
 	if answer.GetRefused() {
 		r.mayHaveRun = before
 		drain(response)
@@ -80,6 +83,14 @@
 	return r.deliver(ctx, choice, link, response, answer)
 }
 
+// heardLeaving takes in a target's word that it leaves.
+func (r *request) heardLeaving(choice *mtboard.Choice, answer *fleetv1.Answer) {
+	if target, news := choice.Leaves(answer); news {
+		r.front.trail.Warn(mtkind.TargetLeaving, append(r.fields(), zap.String("target", target),
+			zap.String("address", choice.Address()), zap.String("from", "its answer"))...)
+	}
+}
+
 // mine says that an answer belongs to this request.
 func (r *request) mine(response *http.Response) bool {
 	answer := mtspeech.DecodeAnswer(response.StatusCode, response.Header)
