Send a target nothing while it wants a pause

What callers saw: requests went on to a target that had turned one away and said for how long it wants none, were turned away too, and came back as 503 where the route allows no further try; where all targets had asked for a pause, callers were told to come back a quarter of a second later. Cause: Retry-After of a target's 503 was not read; a target that turns requests away was only dearer, and so still chosen under load. What was chosen before and waits for its connection is not sent any more, nor to a target that has said meanwhile that it leaves. A caller whom nobody can take hears when the first pause ends, where all targets have asked for one. target-paused is logged once a pause. Ruled out: an end at the first success: answers under way say nothing of new requests.

--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -41,6 +41,7 @@
 	EngineReturned   Kind = 7051
 	QuotaExceeded    Kind = 7052
 	QuotaBack        Kind = 7053
+	TargetPaused     Kind = 7054
 )
 
 var fleetRows = map[Kind]row{
@@ -55,6 +56,7 @@
 	TargetListed:     {"target-listed", "a target has an entry in the store"},
 	TargetLeaving:    {"target-leaving", "a target says that it leaves: it gets no more requests"},
 	TargetGone:       {"target-gone", "a target's entry is gone or unreadable: it gets no more requests"},
+	TargetPaused:     {"target-paused", "a target that turned a request away says for how long it wants none"},
 	TargetMissing:    {"target-missing", "a target's entry vanished with an outage of the store: it is kept for a moment"},
 	WeightsNamed:     {"weights-named", "new weights of a model were named"},
 	EngineLost:       {"engine-lost", "the engine beside the sidecar does not answer"},
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -19,6 +19,7 @@
 	"github.com/mustardtide/mustardtide/internal/placement/mtdeparture"
 	"github.com/mustardtide/mustardtide/internal/placement/mtholder"
 	"github.com/mustardtide/mustardtide/internal/placement/mtnaming"
+	"github.com/mustardtide/mustardtide/internal/placement/mtpause"
 	"github.com/mustardtide/mustardtide/internal/placement/mtspeed"
 )
 
@@ -37,8 +38,10 @@
 
 	mu      sync.Mutex
 	records map[string]*record
-	// departures are the targets that have said that they leave.
+	// departures are the targets that have said that they leave, pauses those that want
+	// no requests for a time.
 	departures *mtdeparture.Departures
+	pauses     *mtpause.Pauses
 	// services are the records by service, in the order of their hashes.
 	services map[string][]*record
 	// named are the models' weights, unnamed those of a model of which nothing is known.
@@ -116,6 +119,7 @@
 		holders:    mtholder.New(),
 		records:    map[string]*record{},
 		departures: mtdeparture.New(),
+		pauses:     mtpause.New(),
 		named:      map[string]*mtnaming.Naming{},
 		unnamed:    mtnaming.New(allowed),
 		knees:      map[queue]int{},
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -192,6 +192,22 @@
 	return id, c.board.departures.Note(id, born)
 }
 
+// Pauses takes in for how long an answer says that its target wants no more requests. It
+// reports whether that is news.
+func (c *Choice) Pauses(answer *fleetv1.Answer) bool {
+	c.board.mu.Lock()
+	defer c.board.mu.Unlock()
+	return c.board.pauses.Ask(c.id, answer.GetPause().AsDuration())
+}
+
+// Withdrawn says that the target must not get the request any more, though it was chosen:
+// it has asked for a pause or said that it leaves meanwhile.
+func (c *Choice) Withdrawn() bool {
+	c.board.mu.Lock()
+	defer c.board.mu.Unlock()
+	return c.record.leaves() || c.board.pauses.Left(c.id) > 0
+}
+
 // End notes how the send ended.
 func (c *Choice) End(outcome Outcome) {
 	c.board.mu.Lock()
--- a/internal/placement/mtboard/why.go
+++ b/internal/placement/mtboard/why.go
@@ -14,6 +14,7 @@
 	lackTried
 	lackLeaving
 	lackMisplaced
+	lackPaused
 	lackUnreached
 	lackSilent
 	lackLoading
@@ -26,6 +27,7 @@
 	lackTried:     "tried",
 	lackLeaving:   "leaving",
 	lackMisplaced: "replaced",
+	lackPaused:    "asked for a pause",
 	lackUnreached: "unreached of late",
 	lackSilent:    "silent",
 	lackLoading:   "loading weights",
@@ -39,6 +41,8 @@
 		return lackLeaving
 	case r.misplaced:
 		return lackMisplaced
+	case r.board.pauses.Left(r.target.GetId()) > 0:
+		return lackPaused
 	case time.Now().Before(r.faults.out):
 		return lackUnreached
 	case r.fresh() && !r.state.GetAnswers():
@@ -83,3 +87,23 @@
 	}
 	return fmt.Sprintf("%d known: %s", known, all.String())
 }
+
+// Again is when a request that no target can take should come back, where all that do not
+// leave have asked for a pause: when the first of these ends. 0 where others may take it
+// sooner.
+func (b *Board) Again(q *Query) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var first time.Duration
+	for _, r := range b.services[q.service.GetName()] {
+		left := b.pauses.Left(r.target.GetId())
+		switch {
+		case r.leaves():
+		case left == 0:
+			return 0
+		case first == 0 || left < first:
+			first = left
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/internal/placement/mtpause/pauses_test.go
@@ -0,0 +1,29 @@
+package mtpause_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mustardtide/mustardtide/internal/placement/mtpause"
+)
+
+// Failure: a shorter pause that is asked for later ends the longer one, or a pause never
+// ends.
+func TestLastEndHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := mtpause.New()
+		g.Expect(p.Left("a")).To(BeZero())
+		g.Expect(p.Ask("a", 4*time.Second)).To(BeTrue())
+		time.Sleep(time.Second)
+		g.Expect(p.Ask("a", time.Second)).To(BeFalse())
+		g.Expect(p.Left("a")).To(Equal(3 * time.Second))
+		g.Expect(p.Left("b")).To(BeZero())
+		time.Sleep(3 * time.Second)
+		g.Expect(p.Left("a")).To(BeZero())
+		g.Expect(p.Ask("a", time.Second)).To(BeTrue())
+	})
+}
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -47,6 +47,12 @@
 		}
 		return rejected{why: err.Error(), unreached: true}
 	}
+	if choice.Withdrawn() {
+		link.Close()
+		choice.End(mtboard.Left{})
+		r.unreached++
+		return rejected{why: "it wants no more requests since it was chosen", unreached: true}
+	}
 	r.tries++
 	r.logSent(choice, link)
 	r.notify(choice, false)
@@ -68,6 +74,10 @@
 	if answer.GetLeaving() {
 		r.heardLeaving(choice, answer)
 	}
+	if answer.GetPause().AsDuration() > 0 && choice.Pauses(answer) {
+		r.front.trail.Warn(mtkind.TargetPaused, append(r.fields(), zap.String("target", choice.Target()),
+			zap.Duration("pause", answer.GetPause().AsDuration()))...)
+	}
 	if answer.GetRefused() {
 		r.mayHaveRun = before
 		drain(response)
