Order an engine at once when its new id is known

What callers saw: nothing by itself; in the incident of outdated weights the engine that came back stayed on them for two seconds, and got requests in that time. Cause: its sidecar ordered under the former id, was turned away with 421, and waited the second that follows a refusal, though the new id was known some milliseconds later. The stand-in engine took an order under any id, so no test showed it. Change: another id ends the wait. Ruled out: asking the engine for its id: the entries name it within a greeting.

--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -39,7 +39,10 @@
 		s.entries[from] = e
 	}
 	e.last, e.pending = time.Now(), hello.GetPending()
-	s.target = hello.GetTarget()
+	if s.target != hello.GetTarget() {
+		s.target = hello.GetTarget()
+		s.plan.Renamed()
+	}
 	if hello.GetTurn() != nil {
 		e.far = hello.GetFar()
 		if !e.far || !s.heardNear() {
--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -292,6 +292,10 @@
 // Refused notes that the engine did not take the order.
 func (p *Plan) Refused() { p.blocked = time.Now().Add(failedTime) }
 
+// Renamed notes that the engine has another id: an order that it turned away under the
+// former one may be sent again at once.
+func (p *Plan) Renamed() { p.blocked = time.Time{} }
+
 // behind returns the turn of the first model whose weights are older than named, and
 // until when it may be put off.
 func (p *Plan) behind(report *fleetv1.Report) (due, time.Time, bool) {
