Bring an engine's turn forward where the age of weights is told later

What callers saw: nothing yet; found by reading the change that tells ages. Cause: a plan works out an engine's turn as it hears of weights. Where the first to tell does not know since when, and the queue is not seen to move, an age that is told after that moved nothing: the engine kept a turn up to half of the time allowed later. Change: a greater age brings the turn forward to the latest time that it leaves. Ruled out: a new turn from the place that was told last: an entry that hears little says that each engine of which it has heard is the first. A live queue sets turns anew with each greeting, so that this is about fleets that see few of their engines.

--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -100,12 +100,15 @@
 
 // at is when an engine with the last turn told is to be ordered to load a model's newest
 // weights.
-func (p *Plan) at(model string) time.Time {
+func (p *Plan) at(model string) time.Time { return earlier(p.due(), p.latest(model)) }
+
+// latest is when it is to be ordered at the latest, whatever its turn.
+func (p *Plan) latest(model string) time.Time {
 	serves, seen := p.serves[model]
 	if !seen {
 		serves = p.namings[model].Newest().GetVersion() - 1
 	}
-	return earlier(p.due(), p.last(model, serves).Add(p.spread()))
+	return p.last(model, serves).Add(p.spread())
 }
 
 // last is until when the load of an engine with a version may be put off.
@@ -154,10 +157,16 @@
 	if p.namings[model] == nil {
 		p.namings[model] = mtnaming.New(p.allowed)
 	}
+	list := p.named[model]
 	if !p.namings[model].Hear(weights) {
+		// The ages may be greater than what was known.
+		for i, d := range list {
+			if d.weights.GetVersion() > p.serves[model] {
+				list[i].at = earlier(d.at, p.latest(model))
+			}
+		}
 		return false
 	}
-	list := p.named[model]
 	if len(list) == mostNamed {
 		list = slices.Delete(list, 1, 2)
 	}
--- a/internal/relay/mtrollout/plan_test.go
+++ b/internal/relay/mtrollout/plan_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/placement/mtnaming"
 	"github.com/mustardtide/mustardtide/internal/relay/mtrollout"
 )
 
@@ -265,3 +266,23 @@
 		g.Expect(took).To(BeNumerically("<", 100*time.Millisecond))
 	})
 }
+
+// Failure: a sidecar that restarts hears of weights from an entry that does not know since
+// when, and then their age; its turn stays where it was, after the time allowed.
+func TestAgeThatIsToldLaterBringsTheTurnForward(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		plan := mtrollout.New(allowed)
+		plan.See(report(1, 0, 0))
+		far := turn(20)
+		far.Live = false
+		plan.Turn(far)
+		weights := named(2)
+		plan.Name(mtnaming.Listed(weights))
+		weights.Ages = []*fleetv1.Age{{Version: 2, Age: durationpb.New(6 * time.Second), Sure: true}}
+		plan.Turn(far)
+		plan.Name(weights)
+		_, took := ordered(plan, report(1, 0, 0))
+		g.Expect(took).To(BeNumerically("<", 2*time.Second))
+	})
+}
