Spare few engines that may be outdated where nobody saw the naming

What callers saw: answers made on weights that had run out, after all processes were gone at once for seconds, or where nobody had written the ages of a naming before that. The time in which no process lives is in no age, and the guess for it covers the time since the last write only; an entry that was killed counts as the one that writes for five seconds. Change: where some newer weights' age is doubtful and half of the engines or more have the newest, the others are left out until their load or until the age is told by one that saw it. Ruled out: a time of day beside the ages (clocks are set by seconds); a greater guess (it leaves the fleet out after each loss of all processes right after a naming); other entries writing too (TestCustodyCostsNothingAtRest counts their calls). What remains: where fewer than half have the newest weights, as right after a naming, the guess alone counts.

--- a/internal/placement/mtboard/board_test.go
+++ b/internal/placement/mtboard/board_test.go
@@ -10,6 +10,7 @@
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
+	"github.com/mustardtide/mustardtide/internal/placement/mtnaming"
 )
 
 const allowed = 8 * time.Second
@@ -131,6 +132,27 @@
 	})
 }
 
+// Failure: nobody knows since when weights are named, and few engines with older ones are
+// used as if those were new; or most have older ones, and the few others get everything.
+func TestFewDoubtfulEnginesAreSpared(t *testing.T) {
+	g := NewWithT(t)
+	b := board(4)
+	b.Name(mtnaming.Listed(&fleetv1.Weights{Model: "m", Version: 2, Revision: 2}))
+	used := func() map[string]bool {
+		ids := map[string]bool{}
+		for range 80 {
+			ids[b.Choose(query(9000, "q", "own")).Target()] = true
+		}
+		return ids
+	}
+	b.Hear(state("e1", 2))
+	g.Expect(used()).To(HaveLen(4))
+	b.Hear(state("e2", 2))
+	g.Expect(used()).To(HaveLen(2))
+	b.Name(&fleetv1.Weights{Model: "m", Version: 2, Revision: 2})
+	g.Expect(used()).To(HaveLen(4))
+}
+
 // Failure: the log of a send doesn't tell why an engine with older weights was allowed.
 func TestChoiceSaysHowLongNewerWeightsWereNamed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -90,8 +90,10 @@
 	board *Board
 	query *Query
 	home  string
-	// inTime says that a run may still begin on some target's weights.
+	// inTime says that a run may still begin on some target's weights, half that half of the
+	// targets or more have the newest.
 	inTime bool
+	half   bool
 	// speed is that of the service's engines, slack the delay of the store of cached
 	// parts, and pays that the prompt's shared parts are worth its link.
 	speed   *mtspeed.Speed
@@ -114,7 +116,7 @@
 		w.pays = q.sharedTokens() >= saveLeast && w.slack < share(storeAims, q.aim)
 	}
 	w.home = b.home(q)
-	w.inTime = b.anyInTime(q)
+	w.look()
 	w.salts = map[int64]string{}
 	w.matches = map[int64]map[string]mtholder.Match{}
 	return w
@@ -130,10 +132,14 @@
 		return l
 	}
 	c.version = c.record.weights(w.query.model())
-	c.behind = w.board.naming(w.query.model()).Behind(c.version)
+	naming := w.board.naming(w.query.model())
+	c.behind = naming.Behind(c.version)
 	if w.inTime && w.board.late(c.behind) {
 		return lackOutdated
 	}
+	if w.half && naming.Doubted(c.version) {
+		return lackOutdated
+	}
 	return lackNone
 }
 
@@ -171,13 +177,20 @@
 	return home
 }
 
-// anyInTime says that a run may still begin on the weights of some usable target of the
-// service.
-func (b *Board) anyInTime(q *Query) bool {
-	for _, r := range b.services[q.service.GetName()] {
-		if r.usable() && !b.late(b.naming(q.model()).Behind(r.weights(q.model()))) {
-			return true
+// look goes over the weights of the service's usable targets.
+func (w *weighing) look() {
+	naming := w.board.naming(w.query.model())
+	usable, newest := 0, 0
+	for _, r := range w.board.services[w.query.service.GetName()] {
+		if !r.usable() {
+			continue
+		}
+		usable++
+		behind := naming.Behind(r.weights(w.query.model()))
+		if behind == 0 {
+			newest++
 		}
+		w.inTime = w.inTime || !w.board.late(behind)
 	}
-	return false
+	w.half = 2*newest >= usable
 }
--- a/internal/placement/mtnaming/naming.go
+++ b/internal/placement/mtnaming/naming.go
@@ -108,6 +108,12 @@
 	return time.Since(first)
 }
 
+// Doubted says that nobody is known to have heard of some weights newer than a version as
+// they were named: they may be much older than Behind says.
+func (n *Naming) Doubted(number int64) bool {
+	return slices.ContainsFunc(n.versions, func(v version) bool { return v.number > number && !v.sure })
+}
+
 // Age is how long ago the newest weights were named; 0 if none were.
 func (n *Naming) Age() time.Duration {
 	if len(n.versions) == 0 {
--- a/internal/placement/mtnaming/naming_test.go
+++ b/internal/placement/mtnaming/naming_test.go
@@ -69,7 +69,10 @@
 		first.Hear(second.Tell())
 		for _, n := range []*mtnaming.Naming{first, second} {
 			g.Expect(n.Behind(1)).To(Equal(2 * time.Second))
+			g.Expect(n.Doubted(1)).To(BeTrue())
+			g.Expect(n.Doubted(2)).To(BeFalse())
 			n.Hear(weights(2, age(2, time.Second, true)))
+			g.Expect(n.Doubted(1)).To(BeFalse())
 			g.Expect(n.Behind(1)).To(Equal(time.Second))
 		}
 	})
