--- a/internal/placement/mtboard/board_test.go
+++ b/internal/placement/mtboard/board_test.go
@@ -206,6 +206,24 @@
 	})
 }
 
+// Failure: the only engine with weights in time loads newer ones, and meanwhile runs are
+// begun on an engine that came back with weights whose whole time allowed is over.
+func TestOutdatedBesideOneThatLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := board(2)
+		b.Name(&fleetv1.Weights{Model: "m", Version: 2, Revision: 2})
+		time.Sleep(allowed)
+		b.Name(&fleetv1.Weights{Model: "m", Version: 3, Revision: 3})
+		time.Sleep(time.Second)
+		b.Hear(state("e0", 1))
+		loads := state("e1", 2)
+		loads.Ordering = true
+		b.Hear(loads)
+		g.Expect(b.Choose(query(500, "q", "own")) == nil).To(BeTrue(), "a run begins on weights that ran out a second ago")
+	})
+}
+
 // A target that can't be reached is left out for a moment and then tried again;
 // one that fails a share of its requests gets few, and returns when it is well.
 func TestFaultyTargets(t *testing.T) {
