Tell entries that start which requests are refused for breaking targets

What callers saw: engines that crash again on a request that the fleet had refused. A break is told to other entries for five seconds and kept nowhere else; an entry that starts after that knew of none, and let the request break three more. Change: digests name some of the requests that an entry refuses, with how long ago that began, so that passing it on makes no quarantine longer. Ruled out: telling breaks for longer: a crash breaks as many requests as the engine ran.

--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -144,6 +144,7 @@
 		if catalog := f.catalog.Load(); catalog != nil {
 			digest.Catalog = catalog.Revision()
 		}
+		digest.Bans = f.banned()
 		if f.limited() > 0 {
 			digest.Entries = uint32(f.quota.ObservedSize())
 		}
@@ -169,6 +170,9 @@
 	for _, suspect := range digest.GetSuspects() {
 		f.suspects.Crash(suspect.GetDigest(), suspect.GetSource())
 	}
+	for _, ban := range digest.GetBans() {
+		f.suspects.Adopt(ban.GetDigest(), ban.GetAge().AsDuration())
+	}
 	for _, speed := range digest.GetSpeeds() {
 		f.adopt(speed, "entry "+digest.GetEntry())
 	}
--- a/internal/relay/mtfront/suspect.go
+++ b/internal/relay/mtfront/suspect.go
@@ -1,10 +1,13 @@
 package mtfront
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 )
@@ -22,6 +25,9 @@
 	// maxTold bounds the breaks in a digest; a crash breaks as many requests as
 	// the engine ran.
 	maxTold = 24
+	// maxBans bounds the refused requests in a digest: an entry that starts hears of all
+	// within seconds.
+	maxBans = 8
 	// dangerAgain is when a caller of such a request may ask again.
 	dangerAgain = 30 * time.Second
 )
@@ -68,3 +74,13 @@
 	}
 	return list
 }
+
+// banned lists some of the requests that are refused here, for entries that have started
+// since other entries were told of their breaks.
+func (f *Front) banned() []*fleetv1.Ban {
+	var list []*fleetv1.Ban
+	for digest, age := range f.suspects.Some(maxBans) {
+		list = append(list, &fleetv1.Ban{Digest: bytes.Clone(digest), Age: durationpb.New(age)})
+	}
+	return list
+}
--- a/internal/request/mtquarantine/table.go
+++ b/internal/request/mtquarantine/table.go
@@ -12,6 +12,7 @@
 package mtquarantine
 
 import (
+	"iter"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -110,6 +111,45 @@
 	}
 }
 
+// Adopt takes in that another process quarantined a request some time ago.
+func (t *Table) Adopt(digest []byte, age time.Duration) {
+	if age > banTime {
+		return
+	}
+	since := time.Now().Add(-max(0, age))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.mark(digest)
+	if m == nil {
+		return
+	}
+	if !m.banned || since.Before(m.since) {
+		m.since = since
+	}
+	m.banned = true
+}
+
+// Some yields some quarantined requests and how long ago each was, drawn by the map's
+// order, for processes that have not heard of them.
+func (t *Table) Some(most int) iter.Seq2[[]byte, time.Duration] {
+	return func(yield func([]byte, time.Duration) bool) {
+		if t.Empty() {
+			return
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		count := 0
+		for digest, m := range t.marks {
+			if !m.banned || m.lapsed(time.Now()) {
+				continue
+			}
+			if count++; count > most || !yield(digest[:], time.Since(m.since)) {
+				return
+			}
+		}
+	}
+}
+
 // Learn takes in what another process has quarantined of late.
 func (t *Table) Learn(digests [][]byte) {
 	for _, digest := range digests {
