Let no late witness of a naming end the doubt of its age

Cause: a process that stood still hears of a naming by its own watch when it goes on, and takes that for the moment of the naming. Merged with a greater age that nobody is sure of, the word "sure" went to that age, and the quarter of the time allowed that covers what was not seen was left out at every process. Change: who hears of a naming over a second after another ends no doubt. Ruled out: leaving the age of an unsure witness out: it is a lower bound and holds. Evidence: TestLateWitnessEndsNoDoubt: 4 s before, 6 s after.

--- a/internal/placement/mtnaming/naming.go
+++ b/internal/placement/mtnaming/naming.go
@@ -21,6 +21,8 @@
 	// doubtShare is the part of the time allowed for older weights that is taken to have
 	// passed unseen before a process heard of a naming that nobody saw.
 	doubtShare = 0.25
+	// promptTime is how much later than others a process hears of a naming that it sees.
+	promptTime = time.Second
 	// mostVersions bounds the versions that are kept.
 	mostVersions = 16
 )
@@ -76,11 +78,13 @@
 		n.versions = slices.Insert(n.versions, at, seen)
 		return
 	}
-	known := &n.versions[at]
-	known.sure = known.sure || seen.sure
-	if seen.since.Before(known.since) {
-		known.since = seen.since
+	// Who heard of a version long after another saw it did not hear of it as it was named.
+	older, younger := n.versions[at], seen
+	if younger.since.Before(older.since) {
+		older, younger = younger, older
 	}
+	older.sure = older.sure || younger.sure && younger.since.Sub(older.since) < promptTime
+	n.versions[at] = older
 }
 
 // prune drops versions on which nothing depends: all targets that lack one of two
--- a/internal/placement/mtnaming/naming_test.go
+++ b/internal/placement/mtnaming/naming_test.go
@@ -78,6 +78,24 @@
 	})
 }
 
+// Failure: a process that stood still as weights were named hears of them late and takes
+// them for new; its word ends the others' doubt of an age that is greater than its own.
+func TestLateWitnessEndsNoDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		late, other := mtnaming.New(allowed), mtnaming.New(allowed)
+		late.Hear(weights(2))
+		other.Hear(weights(2, age(2, 4*time.Second, false)))
+		other.Hear(late.Tell())
+		late.Hear(other.Tell())
+		for _, n := range []*mtnaming.Naming{late, other} {
+			g.Expect(n.Behind(1)).To(Equal(6 * time.Second))
+			n.Hear(weights(2, age(2, 5*time.Second, true)))
+			g.Expect(n.Behind(1)).To(Equal(5 * time.Second))
+		}
+	})
+}
+
 // Failure: versions whose time is over fill datagrams.
 func TestVersionsThatMatterAreTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
