Bound the ages of namings that are believed

What callers saw: nothing yet; found by reading the change that tells ages. Cause: an age near the greatest duration, in a datagram or in the store's object, plus the part for what was not seen went below zero, and counted as no age at all: what ran out long ago was allowed. It was passed on to every process and was never corrected. Change: an hour at most is believed. Ruled out: leaving such an age out: a naming whose age is nonsense is not known to be new. Evidence: TestNonsensicalAgeMakesNoNamingYoung: 0 s before, over the time allowed after.

--- a/internal/placement/mtnaming/naming.go
+++ b/internal/placement/mtnaming/naming.go
@@ -23,6 +23,8 @@
 	doubtShare = 0.25
 	// promptTime is how much later than others a process hears of a naming that it sees.
 	promptTime = time.Second
+	// longestAge is the age that is believed: long beside any time allowed.
+	longestAge = time.Hour
 	// mostVersions bounds the versions that are kept.
 	mostVersions = 16
 )
@@ -62,7 +64,7 @@
 	}
 	now := time.Now()
 	for _, age := range weights.GetAges() {
-		n.see(version{age.GetVersion(), now.Add(-max(0, age.GetAge().AsDuration())), age.GetSure()})
+		n.see(version{age.GetVersion(), now.Add(-min(longestAge, max(0, age.GetAge().AsDuration()))), age.GetSure()})
 	}
 	if len(weights.GetAges()) == 0 {
 		n.see(version{weights.GetVersion(), now, true})
--- a/internal/placement/mtnaming/naming_test.go
+++ b/internal/placement/mtnaming/naming_test.go
@@ -1,6 +1,7 @@
 package mtnaming_test
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -96,6 +97,20 @@
 	})
 }
 
+// Failure: an age that no naming can have makes it new, and is passed on for ever.
+func TestNonsensicalAgeMakesNoNamingYoung(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		for _, sure := range []bool{false, true} {
+			n := mtnaming.New(allowed)
+			n.Hear(weights(2, age(2, math.MaxInt64, sure)))
+			time.Sleep(time.Second)
+			g.Expect(n.Behind(1)).To(BeNumerically(">", allowed))
+			g.Expect(n.Tell().GetAges()[0].GetAge().AsDuration()).To(BeNumerically("<", 24*time.Hour))
+		}
+	})
+}
+
 // Failure: versions whose time is over fill datagrams.
 func TestVersionsThatMatterAreTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
