Believe no age of a version beyond the weights that it comes with

What callers saw: nothing yet; found by reading the change that tells ages. Cause: ages are taken in for any version. One beyond the newest weights, in a datagram or in the store's object that is wrong, makes every target outdated; then none is left out for its weights, and those that ran out are used too. It spreads to every process and stays. Change: an age of a version beyond the one that its sender names is left out. No process tells one: it names the greatest version that it knows. Ruled out: a bound on versions by themselves: the store names them in uneven steps.

--- a/internal/placement/mtnaming/naming.go
+++ b/internal/placement/mtnaming/naming.go
@@ -64,6 +64,9 @@
 	}
 	now := time.Now()
 	for _, age := range weights.GetAges() {
+		if age.GetVersion() > weights.GetVersion() {
+			continue
+		}
 		n.see(version{age.GetVersion(), now.Add(-min(longestAge, max(0, age.GetAge().AsDuration()))), age.GetSure()})
 	}
 	if len(weights.GetAges()) == 0 {
--- a/internal/placement/mtnaming/naming_test.go
+++ b/internal/placement/mtnaming/naming_test.go
@@ -111,6 +111,18 @@
 	})
 }
 
+// Failure: an age of a version that was never named makes the newest weights outdated, and
+// with them every target.
+func TestAgeOfAnUnnamedVersionOutdatesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := mtnaming.New(allowed)
+		n.Hear(weights(2, age(2, time.Second, true), age(9, time.Minute, true)))
+		g.Expect(n.Behind(2)).To(BeZero())
+		g.Expect(n.Behind(1)).To(Equal(time.Second))
+	})
+}
+
 // Failure: versions whose time is over fill datagrams.
 func TestVersionsThatMatterAreTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
