--- a/internal/placement/mtboard/board_test.go
+++ b/internal/placement/mtboard/board_test.go
@@ -220,7 +220,7 @@
 		loads := state("e1", 2)
 		loads.Ordering = true
 		b.Hear(loads)
-		g.Expect(b.Choose(query(500, "q", "own")) == nil).To(BeTrue(), "a run begins on weights that ran out a second ago")
+		g.Expect(b.Choose(query(500, "q", "own"))).To(BeNil(), "a run begins on weights that ran out a second ago")
 	})
 }
 
