Count late answers by what made them late

Cause: an operator saw that answers are late, not where: at the entry, in a second send, on the connection, in the target's queue, in reading, in a fetch, or in pauses of the stream. Change: each request notes where the time to its first byte went (mtlate), the target's part by what the choice had foreseen; late_total counts by route and cause, request-done has late. The route's gap is read from the configuration for it. The time to the first byte of a stream that goes on elsewhere stays that of its beginning. Sending is split into connecting, sending and heeding what the answer says of its target. Ruled out: a histogram for each stage: it doesn't say which one made the late ones late. Test: mtlate; the requests' tests as before. Not measured: processor time.

--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -110,6 +110,12 @@
 // Wait is the part of it behind others' prompts.
 func (c *Choice) Wait() time.Duration { return c.wait }
 
+// Reading is the part of the estimate for what the target is to read.
+func (c *Choice) Reading() time.Duration { return c.bill[itemRead] }
+
+// Fetching is the part of the estimate for what the target is to fetch.
+func (c *Choice) Fetching() time.Duration { return c.bill[itemFetch] }
+
 // Matched is what the target is believed to hold of the prompt, in tokens.
 func (c *Choice) Matched() int64 { return c.matched }
 
--- a/internal/relay/mtfront/deliver.go
+++ b/internal/relay/mtfront/deliver.go
@@ -236,7 +236,11 @@
 func (r *request) done(status int, choice *mtboard.Choice, size int) {
 	r.front.histogram(`answer_seconds{route="` + r.route.GetName() + `"}`).Observe(time.Since(r.begun))
 	r.front.trail.Metrics().Add(`requests_total{route="`+r.route.GetName()+`",status="`+strconv.Itoa(status)+`"}`, 1)
-	r.front.trail.Say(mtkind.RequestDone, append(r.fields(), zap.String("target", choice.Target()),
+	late := r.path.Cause(r.first, r.route.GetAim().AsDuration(), r.pause, r.route.GetGap().AsDuration())
+	if late != "" {
+		r.front.trail.Metrics().Add(`late_total{route="`+r.route.GetName()+`",cause="`+late+`"}`, 1)
+	}
+	r.front.trail.Say(mtkind.RequestDone, append(r.fields(), zap.String("target", choice.Target()), zap.String("late", late),
 		zap.Int("status", status), zap.Int("bytes", size), zap.Duration("first", r.first), zap.Duration("pause", r.pause), zap.Duration("took", time.Since(r.begun)))...)
 }
 
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -11,6 +11,7 @@
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/observe/mtlate"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/platform/mtspeech"
@@ -37,21 +38,9 @@
 
 // send gives the request to one target and delivers its answer.
 func (r *request) send(ctx context.Context, choice *mtboard.Choice) result {
-	link, err := r.front.pool.Take(ctx, choice.Address())
-	if err != nil {
-		if ctx.Err() != nil {
-			choice.End(mtboard.Left{})
-		} else {
-			choice.End(mtboard.Unreached{})
-			r.unreached++
-		}
-		return rejected{why: err.Error(), unreached: true}
-	}
-	if choice.Withdrawn() {
-		link.Close()
-		choice.End(mtboard.Left{})
-		r.unreached++
-		return rejected{why: "it wants no more requests since it was chosen", unreached: true}
+	link, result := r.connect(ctx, choice)
+	if link == nil {
+		return result
 	}
 	r.tries++
 	r.logSent(choice, link)
@@ -61,6 +50,7 @@
 	stop := context.AfterFunc(ctx, link.Close)
 	defer stop()
 	header := mtspeech.Outgoing(r.in.Header, r.dispatch(choice))
+	sent := time.Now()
 	before := r.mayHaveRun
 	r.mayHaveRun = true
 	if err := link.Send(r.in.Method, r.uri, r.in.Host, header, r.body); err != nil {
@@ -71,13 +61,7 @@
 		return r.lost(ctx, choice, link, err)
 	}
 	answer := mtspeech.DecodeAnswer(response.StatusCode, response.Header)
-	if answer.GetLeaving() {
-		r.heardLeaving(choice, answer)
-	}
-	if answer.GetPause().AsDuration() > 0 && choice.Pauses(answer) {
-		r.front.trail.Warn(mtkind.TargetPaused, append(r.fields(), zap.String("target", choice.Target()),
-			zap.Duration("pause", answer.GetPause().AsDuration()))...)
-	}
+	r.heed(choice, answer)
 	if answer.GetRefused() {
 		r.mayHaveRun = before
 		drain(response)
@@ -85,7 +69,10 @@
 		choice.End(mtboard.Rejected{Answer: answer})
 		return rejected{why: "the target did not run it: " + response.Status}
 	}
-	r.first = time.Since(r.begun)
+	if r.delivered == nil {
+		r.first = time.Since(r.begun)
+		r.worked(choice, time.Since(sent))
+	}
 	choice.Started(answer)
 	r.notify(choice, true)
 	r.front.histogram(`first_byte_seconds{route="` + r.route.GetName() + `"}`).Observe(time.Since(r.begun))
@@ -93,12 +80,48 @@
 	return r.deliver(ctx, choice, link, response, answer)
 }
 
-// heardLeaving takes in a target's word that it leaves.
-func (r *request) heardLeaving(choice *mtboard.Choice, answer *fleetv1.Answer) {
-	if target, news := choice.Leaves(answer); news {
-		r.front.trail.Warn(mtkind.TargetLeaving, append(r.fields(), zap.String("target", target),
-			zap.String("address", choice.Address()), zap.String("from", "its answer"))...)
+// connect returns a connection to the chosen target, or what became of the send without
+// one: nothing was sent.
+func (r *request) connect(ctx context.Context, choice *mtboard.Choice) (*mtlink.Link, result) {
+	chosen := time.Now()
+	link, err := r.front.pool.Take(ctx, choice.Address())
+	r.path.Add(mtlate.Connection, time.Since(chosen))
+	switch {
+	case err != nil && ctx.Err() != nil:
+		choice.End(mtboard.Left{})
+	case err != nil:
+		choice.End(mtboard.Unreached{})
+		r.unreached++
+	case choice.Withdrawn():
+		link.Close()
+		choice.End(mtboard.Left{})
+		r.unreached++
+		return nil, rejected{why: "it wants no more requests since it was chosen", unreached: true}
+	default:
+		return link, nil
 	}
+	return nil, rejected{why: err.Error(), unreached: true}
+}
+
+// heed takes in what an answer says of its target: that it leaves, or for how long it
+// wants no more requests.
+func (r *request) heed(choice *mtboard.Choice, answer *fleetv1.Answer) {
+	if answer.GetLeaving() {
+		if target, news := choice.Leaves(answer); news {
+			r.front.trail.Warn(mtkind.TargetLeaving, append(r.fields(), zap.String("target", target),
+				zap.String("address", choice.Address()), zap.String("from", "its answer"))...)
+		}
+	}
+	if answer.GetPause().AsDuration() > 0 && choice.Pauses(answer) {
+		r.front.trail.Warn(mtkind.TargetPaused, append(r.fields(), zap.String("target", choice.Target()),
+			zap.Duration("pause", answer.GetPause().AsDuration()))...)
+	}
+}
+
+// worked counts the time that the target took for the first byte.
+func (r *request) worked(choice *mtboard.Choice, took time.Duration) {
+	queue, read, fetch := choice.Wait(), choice.Reading(), choice.Fetching()
+	r.path.Worked(took, queue, read, fetch, max(0, choice.Estimate()-queue-read-fetch))
 }
 
 // mine says that an answer belongs to this request.
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -16,6 +16,7 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtreturn"
 	"github.com/mustardtide/mustardtide/internal/admission/mtshed"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/observe/mtlate"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
 	"github.com/mustardtide/mustardtide/platform/mtspeech"
@@ -49,6 +50,8 @@
 	query *mtboard.Query
 
 	begun time.Time
+	// path is where the time to the first byte went.
+	path mtlate.Path
 	// first is the time to the first byte of the last answer.
 	first time.Duration
 	// pause is the longest time between two parts of a stream.
@@ -188,8 +191,10 @@
 	allowance := r.front.allowance(r.service.GetName())
 	allowance.Request()
 	r.query = mtboard.NewQuery(r.service, r.ask, r.account, r.front.catalog.Load().Cache(mtboard.Home(r.ask)), r.route.GetAim().AsDuration())
+	r.path.Add(mtlate.Entry, time.Since(r.begun))
 	var last result = rejected{}
 	for r.mayTry(last) {
+		began := time.Now()
 		if r.tries > 0 && !allowance.Take(r.front.entries()) {
 			r.front.trail.Metrics().Add("retries_denied_total", 1)
 			break
@@ -210,7 +215,10 @@
 			return
 		}
 		r.query.Exclude(choice.Target())
+		r.path.Add(mtlate.Entry, time.Since(began))
+		chosen := time.Now()
 		last = r.send(ctx, choice)
+		r.path.Failed(time.Since(chosen))
 		r.log(choice, last)
 		if r.over(ctx, last) {
 			return
