Keep an entry's digest within a datagram

What callers saw: nothing yet; found by adding up sizes. A digest that names 24 suspects, as after a crash under many requests, with refused requests and ages beside them is longer than a datagram, is not sent at all, and the other entries hear neither of the suspects nor of anything else for five seconds. Change: refused requests and the oldest suspects are left out until it fits (mtdigest); at most eight versions of weights have their ages told. Evidence: TestDigestFitsADatagram.

--- a/internal/placement/mtnaming/naming.go
+++ b/internal/placement/mtnaming/naming.go
@@ -24,7 +24,7 @@
 	// longestAge bounds the ages that are accepted.
 	longestAge = time.Hour
 	// mostVersions bounds the versions that are kept.
-	mostVersions = 16
+	mostVersions = 8
 )
 
 // Naming is one model's. It is not safe for concurrent use.
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -14,6 +14,7 @@
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1/fleetv1connect"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/relay/mtdigest"
 	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 )
 
@@ -54,6 +55,8 @@
 	// passes through a hundred entries in three such steps, and what each sends does
 	// not grow with their number.
 	digestPeers = 6
+	// digestSize bounds a digest to a datagram.
+	digestSize = 1300
 	// holderEach is how often the entry that orders engines without sidecars speaks to
 	// all others, which take them over when it falls silent.
 	holderEach = time.Second
@@ -155,6 +158,7 @@
 		if closing := f.closing.Load(); closing != nil {
 			digest.Left = durationpb.New(max(0, closing.Left(time.Now())))
 		}
+		mtdigest.Fit(digest, digestSize)
 		f.peers.tell(f.words, &fleetv1.Word{Word: &fleetv1.Word_Digest{Digest: digest}}, most)
 	}
 	return ctx.Err()
