Log the first complete list of targets as one line with counts

Cause: an entry wrote a line for each target that it learned of at its start, 200 a second at most: with three thousand targets nothing else could be found beside them. Change: targets-listed (7055) with the number of targets of each service, when the first list is complete; a line each for targets that leave, and for those that are listed later.

--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -42,6 +42,7 @@
 	QuotaExceeded    Kind = 7052
 	QuotaBack        Kind = 7053
 	TargetPaused     Kind = 7054
+	TargetsListed    Kind = 7055
 )
 
 var fleetRows = map[Kind]row{
@@ -54,6 +55,7 @@
 	CatalogInForce:   {"catalog-in-force", "a configuration is in force here"},
 	CatalogIgnored:   {"catalog-ignored", "a configuration was older than the one in force, or gone"},
 	TargetListed:     {"target-listed", "a target has an entry in the store"},
+	TargetsListed:    {"targets-listed", "the first complete list of targets is known, so many of each service"},
 	TargetLeaving:    {"target-leaving", "a target says that it leaves: it gets no more requests"},
 	TargetGone:       {"target-gone", "a target's entry is gone or unreadable: it gets no more requests"},
 	TargetPaused:     {"target-paused", "a target that turned a request away says for how long it wants none"},
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -47,9 +47,7 @@
 // replace takes in a complete list of targets.
 func (f *Front) replace(found map[string]*fleetv1.Target, revision int64, source string) {
 	before := f.roster.View()
-	for id, target := range found {
-		f.tellTarget(before.Target(id), target, source)
-	}
+	f.tellTargets(before, found, revision, source)
 	for _, id := range f.roster.Replace(found, revision) {
 		f.trail.Warn(mtkind.TargetGone, zap.String("target", id), zap.String("why", "not on the list"), zap.String("from", source))
 	}
--- a/internal/relay/mtfront/pages.go
+++ b/internal/relay/mtfront/pages.go
@@ -1,7 +1,11 @@
 package mtfront
 
 import (
+	"go.uber.org/zap"
+
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/members/mtroster"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/platform/mtobjects"
 )
 
@@ -39,13 +43,28 @@
 // begin puts a part of the first list to use. Neither other entries nor sidecars hear of
 // it: the complete list follows within moments.
 func (f *Front) begin(part []*fleetv1.Target) {
-	before := f.roster.View()
 	if !f.roster.Begin(part) {
 		return
 	}
-	for _, target := range part {
-		f.tellTarget(before.Target(target.GetId()), target, "store")
-	}
 	view := f.roster.View()
 	f.board.List(view.All(), view.Replaced)
 }
+
+// tellTargets logs what a complete list changes. The first is one line and one for each
+// target that leaves: thousands of lines hide what else an entry says at its start.
+func (f *Front) tellTargets(before *mtroster.View, list map[string]*fleetv1.Target, revision int64, source string) {
+	if before.Complete() > 0 {
+		for id, target := range list {
+			f.tellTarget(before.Target(id), target, source)
+		}
+		return
+	}
+	counts := map[string]int{}
+	for _, target := range list {
+		counts[target.GetService()]++
+		if target.GetLeaving() {
+			f.tellTarget(nil, target, source)
+		}
+	}
+	f.trail.Say(mtkind.TargetsListed, zap.Int("targets", len(list)), zap.Any("services", counts), zap.Int64("revision", revision), zap.String("from", source))
+}
