Pay off what requests cost beyond what they were charged

Cause: mtquota counts a request once, at its admission. The older interface estimates a cost and measures it afterwards; what it has cost more was to be had for nothing, as an entry below its credit draws just the next request's cost. Ruled out: drawing the debt with the next waiting request: one larger than the burst is never granted. Drawing it ahead of need: in a flood there is nothing ahead. Change: Quota.Settle corrects a charge. What an entry owes goes to the allocator with its next draw (Need.owed) and takes the balance below zero if need be, so that it is paid off by the account's next credit at whichever entry. Refund is a Settle to nothing. Not covered: a debt whose draw is lost is forgotten. On the users' platform nothing is settled but to nothing; an entry that is below its floor, as the floor has risen, now pays the difference.

--- a/internal/admission/mtallocator/allocator.go
+++ b/internal/admission/mtallocator/allocator.go
@@ -250,6 +250,7 @@
 		b.level += float64(max(0, need.GetReturned()))
 	}
 	b.level = min(b.level, b.room(full, margin))
+	b.level -= float64(max(0, need.GetOwed()))
 	amount := 0.0
 	// A request that fits in part is granted whole: credit that is just short of a large
 	// request would always go to smaller ones. What entries hold counts as left.
--- a/internal/admission/mtallocator/allocator_test.go
+++ b/internal/admission/mtallocator/allocator_test.go
@@ -227,6 +227,27 @@
 	})
 }
 
+// Failure: requests that cost more than they were admitted for take more than the quota
+// in the long run.
+func TestOwedCostIsPaidOff(t *testing.T) {
+	within(t, func(g *WithT, a *mtallocator.Allocator) {
+		one := &lender{to: a, name: "one", run: 1, entries: 1}
+		one.lend(3 * time.Second)
+		owe := func(amount int64) {
+			one.number++
+			a.Answer("one", &fleetv1.Draw{Run: 1, Number: one.number, Needs: []*fleetv1.Need{{Account: "school", Owed: amount}}}, 1, account)
+		}
+		owe(burst + 500)
+		g.Expect(one.draw(1, 0)).To(BeZero())
+		one.lend(400 * time.Millisecond)
+		g.Expect(one.draw(1, 0)).To(BeZero())
+		one.lend(300 * time.Millisecond)
+		g.Expect(one.draw(200, 0)).To(Equal(int64(200)))
+		owe(-burst)
+		g.Expect(one.draw(100, 0)).To(BeZero(), "a debt below zero is no credit")
+	})
+}
+
 // A configuration without a quota grants all; an unknown account has none.
 func TestAccountsWithoutQuota(t *testing.T) {
 	within(t, func(g *WithT, a *mtallocator.Allocator) {
--- a/internal/admission/mtquota/quota.go
+++ b/internal/admission/mtquota/quota.go
@@ -121,13 +121,17 @@
 }
 
 // Refund gives back the cost of a request that has not run.
-func (q *Quota) Refund(of *fleetv1.Account, cost int64) {
+func (q *Quota) Refund(of *fleetv1.Account, cost int64) { q.Settle(of, cost, 0) }
+
+// Settle corrects what a request was charged to what it has cost. What is beyond the
+// entry's credit is paid off by the account's next credit, at whichever entry.
+func (q *Quota) Settle(of *fleetv1.Account, charged, cost int64) {
 	if of.GetRate() <= 0 {
 		return
 	}
 	a := q.account(of)
-	a.credit.Add(cost)
-	a.totals.admitted.Add(-cost)
+	a.credit.Add(charged - cost)
+	a.totals.admitted.Add(cost - charged)
 }
 
 // refuse tells when a request of this size fits, spread so that those who are refused
--- a/internal/admission/mtquota/tick.go
+++ b/internal/admission/mtquota/tick.go
@@ -76,8 +76,11 @@
 		return nil
 	}
 	target := int64(a.demand*aheadTime.Seconds() + a.large)
-	credit := a.credit.Load()
+	credit, floor := a.credit.Load(), a.floor.Load()
 	switch {
+	case credit < floor:
+		a.credit.Add(floor - credit)
+		return &fleetv1.Need{Account: a.name, Held: floor, Owed: floor - credit}
 	case credit > 2*target && credit > 0:
 		if !a.credit.CompareAndSwap(credit, target) {
 			return nil
