Refuse rates in overlays

Cause: rate and burst hold over all entries, and an overlay could give one data centre others. Held over the fleet, an entry would grant the rate of its own data centre to all, and an account that it does not know without any bound. Ruled out: the greatest or least of all data centres' rates: nobody has written that one. What was accepted before stays in force until the next submit.

--- a/internal/settings/mtcheck/checker.go
+++ b/internal/settings/mtcheck/checker.go
@@ -46,6 +46,7 @@
 	o := &overlay{file: newFile(label, c.findings), message: &mustardtidev1.Overlay{}}
 	_ = o.decoder.Decode(text, o.message)
 	o.index(o.message.GetAccounts(), o.message.GetServices(), o.message.GetRules())
+	o.rates()
 	name := o.message.GetDatacentre()
 	switch _, twice := c.overlays[name]; {
 	case name == "":
@@ -59,6 +60,20 @@
 	return name
 }
 
+// rates refuses the rates of an overlay: an entry would grant those of its own data
+// centre to all others.
+func (o *overlay) rates() {
+	for i, account := range o.message.GetAccounts() {
+		at := fmt.Sprintf("accounts[%d].", i)
+		if account.Rate != nil {
+			o.decoder.Refuse(at+"rate", "a rate holds over all data centres", "write it into the base file")
+		}
+		if account.Burst != nil {
+			o.decoder.Refuse(at+"burst", "a burst holds over all data centres", "write it into the base file")
+		}
+	}
+}
+
 // Check returns nil where the settings are valid in every data centre, else
 // an error of type trace.BadParameter with all findings.
 func (c *Checker) Check() error {
