Hold the older interface's rates over all entries

What callers saw: an account whose callers use one of four entries had a quarter of its rate. Cause: each entry had a bucket of its equal part (mtlimit). Ruled out: counts told to all, which break a quota in the model (design/shifted.md); a second design for the same promise. Change: one meaning for both interfaces. The entries lend and draw by mtquota and mtallocator (mtcredit), in calls of a service that entries alone may use; one call at a time to each, with all that is due. Who the others are comes from the platform's list; who did not answer a call is left and asked again each second. Nothing may be used beyond rate and burst: the margin is zero. A cost is estimated at admission and corrected by what was measured; a request larger than the burst needs all of it and is paid off afterwards, as before. mtlimit is gone; its count of streams, which holds at one entry, is mtstreams. Tests: ten in rate_test.go, real entries in paused time, and four of mtcredit. TestLimits tested the equal part, which is no longer meant. In its place, as strict or stricter: TestWholeRateAtOneEntry and TestRateOfAFlood (the whole rate and no window of any length over rate and burst, a calm account beside it refused nothing), TestRefusedByRateComesBack (each refusal says a time at which the request passes) and TestCostsAreCorrected (what did not run costs nothing). TestStreams is as it was. Left: the time that a draw is under way lengthens a lease; metrics and events of accounts over their rates; the cost at 420 entries is not measured.

--- a/gen/mustardtide/v1/mustardtidev1connect/control.connect.go
+++ b/gen/mustardtide/v1/mustardtidev1connect/control.connect.go
@@ -21,6 +21,8 @@
 const _ = connect.IsAtLeastVersion1_13_0
 
 const (
+	// QuotaServiceName is the fully-qualified name of the QuotaService service.
+	QuotaServiceName = "mustardtide.v1.QuotaService"
 	// ControlServiceName is the fully-qualified name of the ControlService service.
 	ControlServiceName = "mustardtide.v1.ControlService"
 )
@@ -33,6 +35,8 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
+	// QuotaServiceDrawProcedure is the fully-qualified name of the QuotaService's Draw RPC.
+	QuotaServiceDrawProcedure = "/mustardtide.v1.QuotaService/Draw"
 	// ControlServicePullProcedure is the fully-qualified name of the ControlService's Pull RPC.
 	ControlServicePullProcedure = "/mustardtide.v1.ControlService/Pull"
 	// ControlServiceStatusProcedure is the fully-qualified name of the ControlService's Status RPC.
@@ -43,6 +47,76 @@
 	ControlServiceEventsProcedure = "/mustardtide.v1.ControlService/Events"
 )
 
+// QuotaServiceClient is a client for the mustardtide.v1.QuotaService service.
+type QuotaServiceClient interface {
+	Draw(context.Context, *connect.Request[v1.DrawRequest]) (*connect.Response[v1.DrawReply], error)
+}
+
+// NewQuotaServiceClient constructs a client for the mustardtide.v1.QuotaService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewQuotaServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) QuotaServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	quotaServiceMethods := v1.File_mustardtide_v1_control_proto.Services().ByName("QuotaService").Methods()
+	return &quotaServiceClient{
+		draw: connect.NewClient[v1.DrawRequest, v1.DrawReply](
+			httpClient,
+			baseURL+QuotaServiceDrawProcedure,
+			connect.WithSchema(quotaServiceMethods.ByName("Draw")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// quotaServiceClient implements QuotaServiceClient.
+type quotaServiceClient struct {
+	draw *connect.Client[v1.DrawRequest, v1.DrawReply]
+}
+
+// Draw calls mustardtide.v1.QuotaService.Draw.
+func (c *quotaServiceClient) Draw(ctx context.Context, req *connect.Request[v1.DrawRequest]) (*connect.Response[v1.DrawReply], error) {
+	return c.draw.CallUnary(ctx, req)
+}
+
+// QuotaServiceHandler is an implementation of the mustardtide.v1.QuotaService service.
+type QuotaServiceHandler interface {
+	Draw(context.Context, *connect.Request[v1.DrawRequest]) (*connect.Response[v1.DrawReply], error)
+}
+
+// NewQuotaServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewQuotaServiceHandler(svc QuotaServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	quotaServiceMethods := v1.File_mustardtide_v1_control_proto.Services().ByName("QuotaService").Methods()
+	quotaServiceDrawHandler := connect.NewUnaryHandler(
+		QuotaServiceDrawProcedure,
+		svc.Draw,
+		connect.WithSchema(quotaServiceMethods.ByName("Draw")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/mustardtide.v1.QuotaService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case QuotaServiceDrawProcedure:
+			quotaServiceDrawHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedQuotaServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedQuotaServiceHandler struct{}
+
+func (UnimplementedQuotaServiceHandler) Draw(context.Context, *connect.Request[v1.DrawRequest]) (*connect.Response[v1.DrawReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mustardtide.v1.QuotaService.Draw is not implemented"))
+}
+
 // ControlServiceClient is a client for the mustardtide.v1.ControlService service.
 type ControlServiceClient interface {
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullReply], error)
--- /dev/null
+++ b/internal/admission/mtstreams/streams_test.go
@@ -0,0 +1,29 @@
+package mtstreams_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
+	"github.com/mustardtide/mustardtide/internal/admission/mtstreams"
+	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
+)
+
+func TestStreams(t *testing.T) {
+	g := NewWithT(t)
+	streams := mtstreams.New()
+	account := &mustardtidev1.Account{Name: "schools", Streams: proto.Uint32(3)}
+	for range 3 {
+		g.Expect(passes(streams.Enter(account))).To(BeTrue())
+	}
+	refusal := streams.Enter(account)
+	g.Expect(refusal.Code()).To(Equal(mtcode.StreamsExceeded))
+	g.Expect(refusal.Wait()).To(BeNumerically(">", 0))
+	streams.Leave(account)
+	g.Expect(passes(streams.Enter(account))).To(BeTrue())
+}
+
+func passes(refusal *mtrefusal.Refusal) bool { return refusal == nil }
--- a/internal/role/mtentry/entry.go
+++ b/internal/role/mtentry/entry.go
@@ -14,7 +14,7 @@
 
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/gen/mustardtide/v1/mustardtidev1connect"
-	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
+	"github.com/mustardtide/mustardtide/internal/admission/mtstreams"
 	"github.com/mustardtide/mustardtide/internal/members/mtevidence"
 	"github.com/mustardtide/mustardtide/internal/members/mtlist"
 	"github.com/mustardtide/mustardtide/internal/observe/mtevent"
@@ -23,6 +23,7 @@
 	"github.com/mustardtide/mustardtide/internal/request/mtquarantine"
 	"github.com/mustardtide/mustardtide/internal/request/mtsuspicion"
 	"github.com/mustardtide/mustardtide/internal/role/mtcontrol"
+	"github.com/mustardtide/mustardtide/internal/role/mtcredit"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
 	"github.com/mustardtide/mustardtide/internal/role/mtsync"
@@ -42,8 +43,8 @@
 	clients  *clients
 	places   *places
 	poison   *mtquarantine.Table
-	limits   *mtlimit.Limits
-	census   census
+	streams  *mtstreams.Streams
+	credit   *mtcredit.Credit
 	budgets  budgets
 	started  time.Time
 	live     atomic.Int64
@@ -70,7 +71,8 @@
 	e.control = mtcontrol.New(log, e.spread, e.list, e.status, e.drain)
 	e.clients = newClients(network, e.peer, e.control.Interceptor())
 	e.poison = mtquarantine.New()
-	e.limits = mtlimit.New()
+	e.streams = mtstreams.New()
+	e.credit = mtcredit.New(process.GetName(), network, e.spread, e.list, e.control)
 	e.control.Carry(e.poison.Bans)
 	return e
 }
@@ -88,11 +90,13 @@
 		return nil, trace.Wrap(err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle(mustardtidev1connect.NewControlServiceHandler(e.control, connect.WithInterceptors(e.control.Interceptor())))
+	hear := connect.WithInterceptors(e.control.Interceptor())
+	mux.Handle(mustardtidev1connect.NewControlServiceHandler(e.control, hear))
+	mux.Handle(mustardtidev1connect.NewQuotaServiceHandler(e.credit, hear))
 	mux.Handle("/metrics", e.log.Metrics())
 	client := mtplatform.New(e.process.GetPlatform(), e.process.GetNamespace(), e.net.Outside())
 	follow := mtsync.New(e.process, e.net, e.log, e.spread, e.list, e.control)
-	e.ends = append(e.ends, follow.Entry(ctx), e.evidence.Follow(ctx), mtsuspicion.New(client).Follow(ctx, e.suspicion))
+	e.ends = append(e.ends, follow.Entry(ctx), e.evidence.Follow(ctx), e.credit.Follow(ctx), mtsuspicion.New(client).Follow(ctx, e.suspicion))
 	e.log.Add(mtkind.EntryStarted, &mustardtidev1.Event{Text: public.Addr().String()})
 	return []*mtserver.Server{
 		mtserver.New(public, nil, e.routes()),
--- a/internal/role/mtentry/serve.go
+++ b/internal/role/mtentry/serve.go
@@ -60,7 +60,7 @@
 		e.turnAway(w, t, refusal)
 		return
 	}
-	leave, refusal := e.limit(t)
+	leave, refusal := e.limit(r.Context(), t)
 	if refusal != nil {
 		e.turnAway(w, t, refusal)
 		return
--- a/internal/role/mttls/guard.go
+++ b/internal/role/mttls/guard.go
@@ -31,6 +31,7 @@
 		mustardtidev1connect.SidecarServiceClaimProcedure:  {RoleSidecar},
 		mustardtidev1connect.SidecarServiceOrderProcedure:  {RoleOperator},
 		mustardtidev1connect.ControlServiceDrainProcedure:  {RoleOperator},
+		mustardtidev1connect.QuotaServiceDrawProcedure:     {RoleEntry},
 	}
 }
 
