Let no late answer change the list of those who were silent

What callers saw: an entry that dies in the middle of its answers. Cause: the list of processes that have not answered a question was handed to the request's goroutine as it stood; an answer that was found just before the question ended deleted from it, without the lock that the reader no longer held. The runtime ends the process for that. Change: the end of a question takes the list; later answers find none. Ruled out: a lock around the reader: the question is over, nothing may change any more.

--- a/internal/relay/mtfront/ask.go
+++ b/internal/relay/mtfront/ask.go
@@ -76,13 +76,16 @@
 	}
 }
 
-// end closes a question and names those who have not answered.
+// end closes a question and names those who have not answered. The list is the caller's: an
+// answer that was found before changes nothing any more.
 func (q *questions) end(number uint64) map[string]bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	asked := q.open[number]
 	delete(q.open, number)
-	return asked.open
+	silent := asked.open
+	asked.open = nil
+	return silent
 }
 
 // consult brings what is known of the best targets, and of who holds the prompt's shared
