Start no timer of zero, which the race detector does not bear in a test's bubble

Change: the entry's look at the fleet's size had the other timer of zero in the code: its first look, before any configuration is known, found nothing and is gone.

--- a/internal/relay/mtfront/size.go
+++ b/internal/relay/mtfront/size.go
@@ -26,11 +26,11 @@
 	reads, stored, seen := 0, 0, 0
 	read := false
 	since := time.Now()
-	for wait := time.Duration(0); ; wait = sizeTime {
+	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(wait):
+		case <-time.After(sizeTime):
 		}
 		if f.limited() == 0 {
 			continue
