--- a/internal/role/mtentry/drain.go
+++ b/internal/role/mtentry/drain.go
@@ -53,6 +53,9 @@
 
 // pause waits; it fails where ctx ends first.
 func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	select {
 	case <-time.After(d):
 		return nil
--- a/internal/standin/mtengine/engine.go
+++ b/internal/standin/mtengine/engine.go
@@ -163,6 +163,9 @@
 }
 
 func sleep(r *http.Request, d time.Duration) error {
+	if d <= 0 {
+		return r.Context().Err()
+	}
 	select {
 	case <-time.After(d):
 		return nil
