Keep a rollout's pace where first loads are long and engines crash

Cause: (1) until a first load had ended it was taken to last a second; (2) the wait of engines that were put off ended for all at once; (3) the time to the next turn was a whole interval also while fewer loaded than should. Change: loads under way show what a load takes at the least; engines that were put off go in their order; the wait for a turn is shorter by the share that is missing.

--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -246,13 +246,14 @@
 }
 
 // come says that an engine's turn has come. While enough others load it is put
-// off until last: loads would take longer, and too few engines would serve.
+// off until last, and those that were put off then go in their order: loads would take
+// longer, and too few engines would serve.
 func (p *Plan) come(d due, last time.Time) bool {
 	now := time.Now()
 	if now.Before(d.at.Add(-p.lead())) {
 		return false
 	}
-	return now.Sub(p.full) > fullTime || now.After(last)
+	return now.Sub(p.full) > fullTime || now.After(last.Add(p.spread()))
 }
 
 // Until is how long nothing changes by itself; 0 where something is due now, and
--- a/internal/relay/mtrollout/plan_test.go
+++ b/internal/relay/mtrollout/plan_test.go
@@ -30,6 +30,13 @@
 	}
 }
 
+// full is a turn while enough others load.
+func full(place uint32) *fleetv1.Turn {
+	t := turn(place)
+	t.Full = true
+	return t
+}
+
 // planned is a plan to which an entry has told the engine's turn.
 func planned(place uint32) *mtrollout.Plan {
 	plan := mtrollout.New(allowed)
@@ -152,15 +159,13 @@
 			g := NewWithT(t)
 			plan := planned(0)
 			plan.Name(named(2))
-			full := turn(0)
-			full.Full = true
-			plan.Turn(full)
+			plan.Turn(full(0))
 			begun := time.Now()
 			r := report(1, 0, 1)
 			for plan.Next(r) == nil {
 				plan.See(r)
 				if time.Since(begun) < said {
-					plan.Turn(full)
+					plan.Turn(full(0))
 				}
 				time.Sleep(10 * time.Millisecond)
 			}
@@ -171,6 +176,35 @@
 	}
 }
 
+// Guards against engines that were put off and load together once that is over.
+func TestEnginesPutOffGoInTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var plans []*mtrollout.Plan
+		for place := range uint32(3) {
+			plan := mtrollout.New(allowed)
+			plan.Turn(full(place))
+			plan.Name(named(2))
+			plans = append(plans, plan)
+		}
+		went := make([]time.Time, len(plans))
+		for range 1000 {
+			for place, plan := range plans {
+				plan.Turn(full(uint32(place)))
+				plan.See(report(1, 0, 1))
+				if went[place].IsZero() && plan.Ordering(report(1, 0, 1)) {
+					went[place] = time.Now()
+				}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		g.Expect(went).NotTo(ContainElement(time.Time{}))
+		for place := range 2 {
+			g.Expect(went[place+1].Sub(went[place])).To(BeNumerically("~", pace, 20*time.Millisecond))
+		}
+	})
+}
+
 // An idle engine is ordered at once in its turn; one with runs a little later,
 // so that most of them end before their weights change under them.
 func TestRunsGetAMomentToEnd(t *testing.T) {
--- a/internal/relay/mtturns/rollout_test.go
+++ b/internal/relay/mtturns/rollout_test.go
@@ -255,22 +255,14 @@
 // fixed time after that, and then ten of 23 engines loaded at once.
 func TestTurnsThatComeLateStayApart(t *testing.T) {
 	s := scenario{engines: 23, entries: 2, knee: 1, share: 1, loss: 0.015625, namings: 3, gap: 50}
-	synctest.Test(t, func(t *testing.T) {
-		if failure := rollouts(s); failure != "" {
-			t.Fatal(failure)
-		}
-	})
+	expectInOrder(t, s)
 }
 
 // The first engine of the queue goes down as weights are named. The others waited
 // behind it until their time was nearly over, and then seven of twelve loaded at once.
 func TestEngineThatIsDownHoldsNobodyUp(t *testing.T) {
 	s := scenario{engines: 12, entries: 1, knee: 4, share: 1, loss: 0.1, namings: 2, gap: 50, crashed: 1, crash: 16}
-	synctest.Test(t, func(t *testing.T) {
-		if failure := rollouts(s); failure != "" {
-			t.Fatal(failure)
-		}
-	})
+	expectInOrder(t, s)
 }
 
 // Two engines crash in the middle of their loads, and their sidecars see these end when
@@ -278,6 +270,28 @@
 // at once in place of five, until the time was nearly over and eight of fifteen went.
 func TestInterruptedLoadsSetNoPace(t *testing.T) {
 	s := scenario{engines: 15, entries: 2, knee: 5, share: 1, loss: 0.1, namings: 2, gap: 51, crashed: 2, crash: 82}
+	expectInOrder(t, s)
+}
+
+// Guards against engines that are held until their time is over, and then load together,
+// where the first loads take longer than the guess and some of them crash.
+func TestCrashesInLongFirstLoads(t *testing.T) {
+	s := scenario{engines: 23, entries: 1, knee: 7, share: 1, loss: 0.1, seed: 0x1cb, namings: 3, gap: 52, crashed: 2, crash: 17}
+	expectInOrder(t, s)
+}
+
+// Guards against a queue that makes up no time after two crashes at its start, until all
+// that wait load together.
+func TestQueueMakesUpForCrashes(t *testing.T) {
+	s := scenario{
+		engines: 24, entries: 1, knee: 7, share: 0.9756978341762346, loss: 0.07323755295367489,
+		seed: 863547489920211204, namings: 2, gap: 59, crashed: 2, crash: 73,
+	}
+	expectInOrder(t, s)
+}
+
+// expectInOrder plays one fleet in which nothing may go wrong.
+func expectInOrder(t *testing.T, s scenario) {
 	synctest.Test(t, func(t *testing.T) {
 		if failure := rollouts(s); failure != "" {
 			t.Fatal(failure)
--- a/internal/relay/mtturns/turns.go
+++ b/internal/relay/mtturns/turns.go
@@ -77,7 +77,9 @@
 	// loads are the last ones of the engines, leasts the shortest of each.
 	loads  []load
 	leasts []time.Duration
-	places map[string]int
+	// underway are the ages of the loads that have not ended.
+	underway []time.Duration
+	places   map[string]int
 	// heard and away count engines; last is how long ago one of them began.
 	heard int
 	away  int
@@ -135,6 +137,9 @@
 	if last.GetBegun() != nil {
 		e.begun = age + last.GetBegun().AsDuration()
 		t.last = min(t.last, e.begun)
+		if away && last.GetEnded() == nil {
+			t.underway = append(t.underway, e.begun)
+		}
 	}
 	if took := last.GetTook().AsDuration(); took >= shortestLoad && took <= longestLoad {
 		ended := age + last.GetEnded().AsDuration()
@@ -196,12 +201,18 @@
 		Full:     t.full(),
 		Live:     float64(t.heard) >= liveShare*float64(len(t.engines)),
 	}
-	if head := interval - t.last; t.last != never && head > 0 {
+	if head := t.next(interval) - t.last; t.last != never && head > 0 {
 		turn.Head = durationpb.New(head)
 	}
 	return turn
 }
 
+// next is the time from the last engine's turn to the one of the queue's first: shorter
+// than the interval while fewer are away than should load.
+func (t *Turns) next(interval time.Duration) time.Duration {
+	return interval * time.Duration(min(t.away, t.atOnce)) / time.Duration(max(1, t.atOnce))
+}
+
 // full says that as many engines are away as should load, and one more whose runs
 // end meanwhile.
 func (t *Turns) full() bool { return !t.overdue && t.away > t.atOnce }
@@ -216,6 +227,8 @@
 	t.atOnce = max(1, (size+groups-1)/groups)
 	if len(t.loads) > 0 {
 		t.learn()
+	} else {
+		t.took = max(t.took, t.atLeast())
 	}
 	t.atOnce = max(t.needed(), min(t.atOnce, t.mostAway()))
 	if t.knee > 0 {
@@ -224,6 +237,16 @@
 	}
 }
 
+// atLeast is what a load takes at the least by those under way. The oldest of them does
+// not count: one false report must not decide.
+func (t *Turns) atLeast() time.Duration {
+	if len(t.underway) < 2 {
+		return 0
+	}
+	slices.Sort(t.underway)
+	return min(t.underway[len(t.underway)-2]-t.lead, longestLoad)
+}
+
 // Knee is the number at once above which loads were seen to be slower; 0 where none
 // was.
 func (t *Turns) Knee() int { return t.knee }
--- a/internal/relay/mtturns/turns_test.go
+++ b/internal/relay/mtturns/turns_test.go
@@ -56,6 +56,25 @@
 	NewWithT(t).Expect(rolled(18, 3, 550*time.Millisecond, 550*time.Millisecond).AtOnce()).To(Equal(3))
 }
 
+// Guards against a queue that waits behind first loads longer than its guess.
+func TestLoadsUnderWaySetThePace(t *testing.T) {
+	g := NewWithT(t)
+	turns := mtturns.New(allowed, 2*time.Second, lead, 0)
+	for i := range 24 {
+		switch i {
+		case 0:
+			turns.Put(id(i), false, true, &fleetv1.Load{Begun: durationpb.New(time.Hour)}, 0)
+		case 1, 2:
+			turns.Put(id(i), false, true, &fleetv1.Load{Begun: durationpb.New(2 * time.Second)}, 0)
+		default:
+			turns.Put(id(i), true, false, &fleetv1.Load{}, 0)
+		}
+	}
+	turns.Arrange(byName)
+	g.Expect(turns.Took()).To(Equal(1600 * time.Millisecond))
+	g.Expect(turns.AtOnce()).To(Equal(6))
+}
+
 // One sidecar tells of a load of a millisecond, another of one of an hour: the pace
 // is that of the others.
 func TestFalseLoadsDoNotDecide(t *testing.T) {
