Let the end of a long queue of loads go in its order

Cause: engines that are put off no longer are spread over 0.15 of the time allowed by place times interval, cut off there: of 20 engines at 160 ms each from the eighth place on went at once, at 125 engines more than half of them. Evidence: TestLongQueueIsPutOffInOrder red before (places 6 and 7 at the same time), green after.

--- a/internal/relay/mtrollout/plan_test.go
+++ b/internal/relay/mtrollout/plan_test.go
@@ -176,33 +176,57 @@
 	}
 }
 
-// Guards against engines that were put off and load together once that is over.
-func TestEnginesPutOffGoInTheirOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
+// putOff returns after what time each engine of a queue goes, while enough others load.
+func putOff(t *testing.T, queue int) []time.Duration {
+	went := make([]time.Duration, queue)
+	waiting := func(place int) *fleetv1.Turn {
+		turn := full(uint32(place))
+		turn.Queue = uint32(queue)
+		return turn
+	}
+	synctest.Test(t, func(*testing.T) {
 		var plans []*mtrollout.Plan
-		for place := range uint32(3) {
+		for place := range queue {
 			plan := mtrollout.New(allowed)
-			plan.Turn(full(place))
+			plan.Turn(waiting(place))
 			plan.Name(named(2))
 			plans = append(plans, plan)
 		}
-		went := make([]time.Time, len(plans))
+		begun := time.Now()
 		for range 1000 {
 			for place, plan := range plans {
-				plan.Turn(full(uint32(place)))
+				plan.Turn(waiting(place))
 				plan.See(report(1, 0, 1))
-				if went[place].IsZero() && plan.Ordering(report(1, 0, 1)) {
-					went[place] = time.Now()
+				if went[place] == 0 && plan.Ordering(report(1, 0, 1)) {
+					went[place] = time.Since(begun)
 				}
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
-		g.Expect(went).NotTo(ContainElement(time.Time{}))
-		for place := range 2 {
-			g.Expect(went[place+1].Sub(went[place])).To(BeNumerically("~", pace, 20*time.Millisecond))
-		}
 	})
+	return went
+}
+
+// Guards against engines that were put off and load together once that is over.
+func TestEnginesPutOffGoInTheirOrder(t *testing.T) {
+	g := NewWithT(t)
+	went := putOff(t, 3)
+	g.Expect(went).NotTo(ContainElement(time.Duration(0)))
+	for place := range 2 {
+		g.Expect(went[place+1]-went[place]).To(BeNumerically("~", pace, 20*time.Millisecond))
+	}
+}
+
+// Guards against a long queue whose end loads all at once when nobody is put off any more.
+func TestLongQueueIsPutOffInOrder(t *testing.T) {
+	const queue = 20
+	g := NewWithT(t)
+	went := putOff(t, queue)
+	g.Expect(went).NotTo(ContainElement(time.Duration(0)))
+	for place := range queue - 1 {
+		g.Expect(went[place+1]-went[place]).To(BeNumerically(">=", 50*time.Millisecond), "place %d", place)
+	}
+	g.Expect(went[queue-1]).To(BeNumerically("<", allowed*3/4))
 }
 
 // An idle engine is ordered at once in its turn; one with runs a little later,
--- a/internal/relay/mtturns/turns.go
+++ b/internal/relay/mtturns/turns.go
@@ -80,9 +80,10 @@
 	// underway are the ages of the loads that have not ended.
 	underway []time.Duration
 	places   map[string]int
-	// heard and away count engines; last is how long ago one of them began.
-	heard int
-	away  int
+	// heard, away and behind count engines; last is how long ago one of them began.
+	heard  int
+	away   int
+	behind int
 	last  time.Duration
 	// atOnce is how many load at once, took what a load takes.
 	atOnce int
@@ -131,6 +132,9 @@
 	if away {
 		t.away++
 	}
+	if e.behind {
+		t.behind++
+	}
 	if last != nil {
 		t.heard++
 	}
@@ -196,6 +200,7 @@
 	interval := t.interval()
 	turn := &fleetv1.Turn{
 		Place:    uint32(t.places[id]),
+		Queue:    uint32(t.behind),
 		Interval: durationpb.New(interval),
 		Lead:     durationpb.New(t.lead),
 		Full:     t.full(),
