Keep an engine's place in the queue of loads between two greetings

Cause: an entry takes a sidecar's word for its engine's place for 2.5 s, but greets the engines of other data centres less often in a large fleet: each 2.7 s at 80 of them, each 60 s at 500. The engine that is greeted was then never in the queue, its turn was the last of all, and those that had no other entry nearby loaded together when their time was over. Change: the word holds for the time between two greetings and a quarter more. Ruled out: turns told by entries that do not see the queue move (live false), which are not followed as it is.

--- a/internal/placement/mtboard/turns.go
+++ b/internal/placement/mtboard/turns.go
@@ -14,6 +14,10 @@
 // queue of its own, which its entries can see move.
 const oneQueue = 60
 
+// lateShare is the part of the time between two words of a sidecar by which one may be
+// late.
+const lateShare = 0.25
+
 // Queues are those in which a service's engines load weights.
 type Queues struct {
 	whole bool
@@ -40,8 +44,9 @@
 	return target.GetDatacentre()
 }
 
-// Queues works out in which order the service's engines load weights.
-func (b *Board) Queues(service *fleetv1.Service) *Queues {
+// Queues works out in which order the service's engines load weights. Each sidecar of the
+// entry's data centre is heard after near, each of the others after far.
+func (b *Board) Queues(service *fleetv1.Service, near, far time.Duration) *Queues {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	records := b.services[service.GetName()]
@@ -52,7 +57,7 @@
 		groups[group] = append(groups[group], r)
 	}
 	for group, list := range groups {
-		q.of[group] = b.turns(service, group, list)
+		q.of[group] = b.turns(service, group, list, near, far)
 	}
 	return q
 }
@@ -60,7 +65,7 @@
 // turns works out one queue. An engine's runs are given the mean length of an answer
 // to end: longer, and engines wait on a heavy day for a few long answers; shorter, and
 // more of what was begun counts for nothing.
-func (b *Board) turns(service *fleetv1.Service, group string, records []*record) *mtturns.Turns {
+func (b *Board) turns(service *fleetv1.Service, group string, records []*record, near, far time.Duration) *mtturns.Turns {
 	naming := b.naming(service.GetModel())
 	knee := queue{service.GetName(), group}
 	turns := mtturns.New(b.allowed, naming.Age(), b.speed(service).Answer(), b.knees[knee])
@@ -69,7 +74,11 @@
 		if r.replaced || r.leaves() {
 			continue
 		}
-		if !r.fresh() {
+		round := far
+		if r.target.GetDatacentre() == b.datacentre {
+			round = near
+		}
+		if !r.placed(round) {
 			turns.Put(r.target.GetId(), false, false, nil, 0)
 			continue
 		}
@@ -87,3 +96,10 @@
 	b.knees[knee] = turns.Knee()
 	return turns
 }
+
+// placed says that the sidecar's word still tells the engine's place in its queue: until
+// the next one, which comes after round, should be there.
+func (r *record) placed(round time.Duration) bool {
+	late := time.Duration(lateShare * float64(round))
+	return r.fresh() || r.state != nil && time.Since(r.heard) < round+late
+}
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -88,7 +88,9 @@
 	alarms chan struct{}
 	// greeted says that some sidecar was greeted.
 	greeted atomic.Bool
-	learn   chan ahead
+	// round is how long the last round of greetings lasts, a duration.
+	round atomic.Int64
+	learn chan ahead
 	// away counts the kinds of objects for which the store does not answer.
 	away atomic.Int32
 
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 )
 
@@ -33,12 +34,14 @@
 		if count > 0 {
 			f.greeted.Store(true)
 		}
+		wait := max(greetTime, time.Duration(count)*time.Second/greetRate)
+		f.round.Store(int64(wait))
 		woken = false
 		select {
 		case <-ctx.Done():
 		case <-f.wake:
 			woken = true
-		case <-time.After(max(greetTime, time.Duration(count)*time.Second/greetRate)):
+		case <-time.After(wait):
 		}
 	}
 	return ctx.Err()
@@ -63,7 +66,7 @@
 // others.
 func (f *Front) helloService(service *fleetv1.Service, round int, woken bool) int {
 	near, far := f.engines(service)
-	queues := f.board.Queues(service)
+	queues := f.queues(service)
 	if !woken || !queues.Whole() {
 		far = partOf(far, round, roundsFor(len(far)))
 	}
@@ -88,6 +91,13 @@
 	return len(near) + len(far)
 }
 
+// queues are those in which a service's engines load weights.
+func (f *Front) queues(service *fleetv1.Service) *mtboard.Queues {
+	_, far := f.engines(service)
+	round := time.Duration(f.round.Load())
+	return f.board.Queues(service, round, time.Duration(roundsFor(len(far)))*round)
+}
+
 // engines lists a service's engines in the entry's data centre, and the others.
 func (f *Front) engines(service *fleetv1.Service) (near, far []*fleetv1.Target) {
 	view := f.roster.View()
--- a/internal/relay/mtfront/host.go
+++ b/internal/relay/mtfront/host.go
@@ -25,7 +25,7 @@
 		clear(s.queues)
 	}
 	if s.queues[service.GetName()] == nil {
-		s.queues[service.GetName()] = s.front.board.Queues(service)
+		s.queues[service.GetName()] = s.front.queues(service)
 	}
 	return s.queues[service.GetName()].Of(listed)
 }
--- a/internal/relay/mtrollout/plan_test.go
+++ b/internal/relay/mtrollout/plan_test.go
@@ -213,7 +213,7 @@
 	went := putOff(t, 3)
 	g.Expect(went).NotTo(ContainElement(time.Duration(0)))
 	for place := range 2 {
-		g.Expect(went[place+1]-went[place]).To(BeNumerically("~", pace, 20*time.Millisecond))
+		g.Expect(went[place+1] - went[place]).To(BeNumerically("~", pace, 20*time.Millisecond))
 	}
 }
 
--- a/internal/relay/mtturns/turns.go
+++ b/internal/relay/mtturns/turns.go
@@ -84,7 +84,7 @@
 	heard  int
 	away   int
 	behind int
-	last  time.Duration
+	last   time.Duration
 	// atOnce is how many load at once, took what a load takes.
 	atOnce int
 	took   time.Duration
