Keep a part's keepers for three rounds of greetings

Cause: a sidecar that was not heard for 8 s is passed over as a keeper. Where a data centre has some 460 engines or more a round of greetings lasts longer, and entries pass over live keepers, each others: what one tells is not found by another. Change: three rounds, 8 s at the least. Evidence: TestKeepersStayBetweenTwoGreetings red before.

--- a/internal/placement/mtboard/seek.go
+++ b/internal/placement/mtboard/seek.go
@@ -15,8 +15,9 @@
 	// looked for and told: below it reading takes no longer than a fetch.
 	seekLeast = 512
 	// keeperTime is how long ago a sidecar of the entry's data centre may have been heard
-	// to be a keeper: three of the rounds of greetings there.
-	keeperTime = 8 * time.Second
+	// to be a keeper, at the least, and keeperRounds the same in rounds of greetings there.
+	keeperTime   = 8 * time.Second
+	keeperRounds = 3
 	// keepers is how many processes keep a part's holders: one may be gone, or known
 	// to some entries only.
 	keepers = 2
@@ -62,8 +63,8 @@
 // Keepers lists the engines whose sidecars keep the holders of a part of the prompt, the
 // first of them first. They are drawn from the list of targets, so that all entries come to
 // the same; a sidecar that does not answer is passed over for a while. There are none where
-// no sidecar is heard at all.
-func (b *Board) Keepers(q *Query, part *fleetv1.Part) []*fleetv1.Target {
+// no sidecar is heard at all. Each sidecar of the data centre is heard after round.
+func (b *Board) Keepers(q *Query, part *fleetv1.Part, round time.Duration) []*fleetv1.Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	type ranked struct {
@@ -71,9 +72,9 @@
 		score  uint64
 	}
 	best := make([]ranked, 0, keepers+1)
-	heard := false
+	heard, recent := false, max(keeperTime, keeperRounds*round)
 	for _, r := range b.services[q.service.GetName()] {
-		spoke := r.attended && time.Since(r.spoke) <= keeperTime
+		spoke := r.attended && time.Since(r.spoke) <= recent
 		heard = heard || spoke
 		if time.Now().Before(r.muted) || !spoke && r.target.GetDatacentre() == b.datacentre {
 			continue
--- a/internal/placement/mtboard/seek_test.go
+++ b/internal/placement/mtboard/seek_test.go
@@ -12,11 +12,16 @@
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 )
 
-// keepers names those of a prompt's deepest shared part.
+// keepers names those of a prompt's deepest shared part, where sidecars are heard often.
 func keepers(b *mtboard.Board, q *mtboard.Query) []string {
+	return keepersAfter(b, q, time.Second)
+}
+
+// keepersAfter names them where each sidecar is heard after round.
+func keepersAfter(b *mtboard.Board, q *mtboard.Query, round time.Duration) []string {
 	parts := q.Ask().GetParts()
 	var names []string
-	for _, target := range b.Keepers(q, parts[len(parts)-2]) {
+	for _, target := range b.Keepers(q, parts[len(parts)-2], round) {
 		names = append(names, target.GetId())
 	}
 	return names
@@ -46,6 +51,26 @@
 	})
 }
 
+// Guards against entries that pass over live keepers, and look at different ones, where a
+// data centre has so many engines that each is heard seldom.
+func TestKeepersStayBetweenTwoGreetings(t *testing.T) {
+	const round = 9300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const engines = 40
+		b := board(engines)
+		for i := range engines {
+			b.Hear(state(fmt.Sprint("e", i), 1))
+		}
+		q := query(6000, "rules", "own")
+		before := keepersAfter(b, q, round)
+		// One word of each is lost.
+		time.Sleep(2 * round)
+		b.Hear(state("e0", 1))
+		g.Expect(keepersAfter(b, q, round)).To(Equal(before))
+	})
+}
+
 // Failure: a dead sidecar keeps parts for as long as its engine is listed.
 func TestKeeperThatDoesNotAnswerIsPassedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/placement/mtdirectory/directory_test.go
+++ b/internal/placement/mtdirectory/directory_test.go
@@ -140,7 +140,7 @@
 // lookUp lets an entry hear who holds a prompt's parts.
 func (f *fleet) lookUp(b *mtboard.Board, q *mtboard.Query) {
 	for _, part := range b.Lookups(q) {
-		for _, keeper := range b.Keepers(q, part) {
+		for _, keeper := range b.Keepers(q, part, time.Second) {
 			if f.gone[keeper.GetId()] {
 				b.Silent(q, keeper.GetId())
 				continue
@@ -157,7 +157,7 @@
 // notify tells the keepers of a prompt's parts which engine has read them.
 func (f *fleet) notify(b *mtboard.Board, q *mtboard.Query, choice *mtboard.Choice) {
 	for _, part := range b.Lookups(q) {
-		for _, target := range b.Keepers(q, part) {
+		for _, target := range b.Keepers(q, part, time.Second) {
 			if !f.gone[target.GetId()] {
 				f.directories[f.number(target.GetId())].Take(&fleetv1.Notice{
 					Target: choice.Target(), Salt: choice.Salt(), Parts: []*fleetv1.Part{part}, Read: true,
--- a/internal/relay/mtfront/keeper.go
+++ b/internal/relay/mtfront/keeper.go
@@ -1,6 +1,8 @@
 package mtfront
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
@@ -54,7 +56,7 @@
 // keepers are the processes that keep the holders of a part of a prompt.
 func (f *Front) keepers(query *mtboard.Query, part *fleetv1.Part) []keeper {
 	var list []keeper
-	for _, target := range f.board.Keepers(query, part) {
+	for _, target := range f.board.Keepers(query, part, time.Duration(f.round.Load())) {
 		list = append(list, sidecarKeeper{target, mtports.SidecarWords.At(f.site, target.GetAddress())})
 	}
 	if len(list) > 0 {
