Keep an entry in a sidecar's list for as long as its greetings are apart

Cause: a sidecar forgets an entry after 4 s, and an entry greets the engines of its data centre each (n + 20) / 60 s: 2.4 s at 125 of them, where one lost greeting is enough, 4.5 s at 250, where each sidecar forgets each entry between two greetings. Such an entry is not told that the engine leaves, loads or has much to read. Change: a greeting tells its round, and an entry counts as live for two and a half of them. What a dead one gave the engine to read still counts for 4 s only, and entries of other data centres for 4 s, as their rounds last a minute. The list is a module without network. Evidence: TestEntryIsKeptBetweenItsGreetings fails at 4.5 and 9.3 s with the former rule.

--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/members/mtentries"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/observe/mttrail"
 	"github.com/mustardtide/mustardtide/internal/placement/mtdirectory"
@@ -38,9 +39,6 @@
 	// lostAfter is how many calls in a row must fail before the engine counts as
 	// lost: one may meet a connection that the engine has just closed.
 	lostAfter = 2
-	// entryTime is how long an entry counts as live after its last word: five of
-	// the intervals at which it greets another data centre's engines.
-	entryTime = 4 * time.Second
 	// aloneTime is the silence of all entries after which the store is asked for
 	// the weights, and how often then.
 	aloneTime = 2 * time.Second
@@ -58,7 +56,7 @@
 	mu      sync.Mutex
 	plan    *mtrollout.Plan
 	gate    *mtgate.Gate
-	entries map[string]*entry
+	entries *mtentries.Entries
 	held    *mtheld.Log
 	// directory is the sidecar's share of who holds which parts.
 	directory *mtdirectory.Directory
@@ -87,7 +85,7 @@
 		engine:    mtprobe.New(site.GetTarget(), network.Dial),
 		plan:      mtrollout.New(site.GetBounds().GetWeights().AsDuration()),
 		gate:      mtgate.New(),
-		entries:   map[string]*entry{},
+		entries:   mtentries.New(),
 		held:      mtheld.New(),
 		directory: mtdirectory.New(),
 		report:    &fleetv1.Report{},
--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -33,21 +32,13 @@
 // greeted takes in a greeting and answers it.
 func (s *Sidecar) greeted(from string, hello *fleetv1.Hello) {
 	s.mu.Lock()
-	e := s.entries[from]
-	if e == nil {
-		e = &entry{}
-		s.entries[from] = e
-	}
-	e.last, e.pending = time.Now(), hello.GetPending()
+	s.entries.Hear(from, hello)
 	if s.target != hello.GetTarget() {
 		s.target = hello.GetTarget()
 		s.plan.Renamed()
 	}
-	if hello.GetTurn() != nil {
-		e.far = hello.GetFar()
-		if !e.far || !s.heardNear() {
-			s.plan.Turn(hello.GetTurn())
-		}
+	if hello.GetTurn() != nil && (!hello.GetFar() || !s.entries.HeardNear()) {
+		s.plan.Turn(hello.GetTurn())
 	}
 	if hello.GetCustody() > 0 {
 		s.hearCustody(hello)
@@ -134,11 +125,11 @@
 		Report:   s.report,
 		Answers:  s.failed < lostAfter,
 		Ordering: s.plan.Ordering(s.report),
-		Entries:  uint32(s.live()),
+		Entries:  uint32(s.entries.Live()),
 		Named:    s.plan.Named(),
 		Epoch:    s.held.Epoch(),
-		Peers:    s.peers(),
-		Pending:  s.pending() - s.entries[to].given(),
+		Peers:    s.entries.Some(maxPeers),
+		Pending:  s.entries.Pending(to),
 		Load:     s.plan.Load(),
 	}
 }
@@ -154,19 +145,14 @@
 		s.mu.Unlock()
 		return
 	}
-	s.spread = s.pending()
+	s.spread = s.entries.Pending("")
 	states := map[string]*fleetv1.State{}
-	for from, e := range s.entries {
-		if len(states) == most {
-			break
-		}
-		if !e.far {
-			states[from] = s.state(from)
-		}
+	for _, to := range s.entries.Near(most) {
+		states[to] = s.state(to)
 	}
 	s.mu.Unlock()
-	for from, state := range states {
-		s.tell(state, from)
+	for to, state := range states {
+		s.tell(state, to)
 	}
 }
 
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
@@ -67,6 +68,7 @@
 func (f *Front) helloService(service *fleetv1.Service, round int, woken bool) int {
 	near, far := f.engines(service)
 	queues := f.queues(service)
+	nearRound, farRound := f.rounds(len(far))
 	if !woken || !queues.Whole() {
 		far = partOf(far, round, roundsFor(len(far)))
 	}
@@ -81,9 +83,10 @@
 			Turn:    queues.Of(engine),
 			Asks:    speed == nil,
 			Far:     away && !queues.Whole(),
+			Round:   durationpb.New(nearRound),
 		}
 		if away {
-			hello.Speed = speed
+			hello.Speed, hello.Round = speed, durationpb.New(farRound)
 		}
 		f.board.Fill(hello)
 		f.hello(mtports.SidecarWords.At(f.site, engine.GetAddress()), hello)
@@ -94,8 +97,15 @@
 // queues are those in which a service's engines load weights.
 func (f *Front) queues(service *fleetv1.Service) *mtboard.Queues {
 	_, far := f.engines(service)
-	round := time.Duration(f.round.Load())
-	return f.board.Queues(service, round, time.Duration(roundsFor(len(far)))*round)
+	nearRound, farRound := f.rounds(len(far))
+	return f.board.Queues(service, nearRound, farRound)
+}
+
+// rounds tells how often each engine of the entry's data centre is greeted, and each of so
+// many others.
+func (f *Front) rounds(count int) (near, far time.Duration) {
+	near = time.Duration(f.round.Load())
+	return near, time.Duration(roundsFor(count)) * near
 }
 
 // engines lists a service's engines in the entry's data centre, and the others.
