--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -67,8 +67,8 @@
 // others.
 func (f *Front) helloService(service *fleetv1.Service, round int, woken bool) int {
 	near, far := f.engines(service)
-	queues := f.queues(service)
 	nearRound, farRound := f.rounds(len(far))
+	queues := f.board.Queues(service, nearRound, farRound)
 	if !woken || !queues.Whole() {
 		far = partOf(far, round, roundsFor(len(far)))
 	}
