--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -132,12 +132,12 @@
 // spread is the turn's place among those that are put off no longer: without it all
 // of them would load at once. A queue that is longer than the time for it moves faster.
 func (p *Plan) spread() time.Duration {
-	longest := time.Duration(spreadShare * float64(p.allowed))
-	queue := time.Duration(p.turn.GetQueue())
-	if queue*p.turn.GetInterval().AsDuration() <= longest {
-		return min(max(0, p.before()), longest)
+	longest := spreadShare * float64(p.allowed)
+	queue := float64(p.turn.GetQueue())
+	if queue*float64(p.turn.GetInterval().AsDuration()) <= longest {
+		return min(max(0, p.before()), time.Duration(longest))
 	}
-	return longest * min(time.Duration(p.turn.GetPlace()), queue) / queue
+	return time.Duration(longest * min(1, float64(p.turn.GetPlace())/queue))
 }
 
 // before is the time that the turns of the engines before this one take.
