Show in logs and metrics which limits targets name

Seen: nothing said what an answer names, so that the incident's record shows neither which entry was told of a limit nor when. Ruled out: telling the hypotheses apart by the sends alone; they show that an entry exceeds a limit, not that it knew. Change: an answer's Server-Limit is decoded (a finite decimal number, not negative; of several the least; one that can't be read names nothing and ends nothing). mtlimit keeps what targets have named. target-limited, target-unlimited, limit= in request-sent, gauge targets_limited. No decision uses it yet.

--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -43,6 +43,8 @@
 	QuotaBack        Kind = 7053
 	TargetPaused     Kind = 7054
 	TargetsListed    Kind = 7055
+	TargetLimited    Kind = 7056
+	TargetUnlimited  Kind = 7057
 )
 
 var fleetRows = map[Kind]row{
@@ -59,6 +61,8 @@
 	TargetLeaving:    {"target-leaving", "a target says that it leaves: it gets no more requests"},
 	TargetGone:       {"target-gone", "a target's entry is gone or unreadable: it gets no more requests"},
 	TargetPaused:     {"target-paused", "a target that turned a request away says for how long it wants none"},
+	TargetLimited:    {"target-limited", "a target names how many requests a second it takes from all entries together"},
+	TargetUnlimited:  {"target-unlimited", "a target names no limit any more"},
 	TargetMissing:    {"target-missing", "a target's entry vanished with an outage of the store: it is kept for a moment"},
 	WeightsNamed:     {"weights-named", "new weights of a model were named"},
 	EngineLost:       {"engine-lost", "the engine beside the sidecar does not answer"},
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -205,13 +205,25 @@
 func (c *Choice) NoteLeaving(answer *fleetv1.Answer) (string, bool) {
 	c.board.mu.Lock()
 	defer c.board.mu.Unlock()
-	id, born := c.id, c.record.born()
-	if other := answer.GetTarget(); other != "" && other != id {
-		id, born = other, 0
-	}
+	id, born := c.answerer(answer)
 	return id, c.board.departures.Add(id, born)
 }
 
+// Answerer is the target whose program gave the answer, and that program's start in Unix
+// milliseconds, 0 where it is not known: another program may answer at the address.
+func (c *Choice) Answerer(answer *fleetv1.Answer) (string, int64) {
+	c.board.mu.Lock()
+	defer c.board.mu.Unlock()
+	return c.answerer(answer)
+}
+
+func (c *Choice) answerer(answer *fleetv1.Answer) (string, int64) {
+	if other := answer.GetTarget(); other != "" && other != c.id {
+		return other, 0
+	}
+	return c.id, c.record.born()
+}
+
 // NotePause takes in for how long an answer says that its target wants no more requests. It
 // reports whether that is news.
 func (c *Choice) NotePause(answer *fleetv1.Answer) bool {
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -17,6 +17,7 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtallocator"
 	"github.com/mustardtide/mustardtide/internal/admission/mtallowance"
 	"github.com/mustardtide/mustardtide/internal/admission/mtclosing"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
 	"github.com/mustardtide/mustardtide/internal/admission/mtquota"
 	"github.com/mustardtide/mustardtide/internal/admission/mtstart"
 	"github.com/mustardtide/mustardtide/internal/members/mtcensus"
@@ -68,7 +69,9 @@
 	// it is in charge.
 	quota     *mtquota.Quota
 	allocator *mtallocator.Allocator
-	catalog   atomic.Pointer[mtcatalog.Catalog]
+	// limits are those that targets have named.
+	limits  *mtlimit.Limits
+	catalog atomic.Pointer[mtcatalog.Catalog]
 	// catalogHeard and targetsHeard are when the first entry of those through which they
 	// came has had them from the store.
 	catalogHeard heard
@@ -120,6 +123,7 @@
 		directory:  mtdirectory.New(),
 		quota:      mtquota.New(socket.Address(), site.GetBounds()),
 		allocator:  mtallocator.New(site.GetBounds()),
+		limits:     mtlimit.New(),
 		board:      mtboard.New(site.GetDatacentre(), site.GetBounds().GetWeights().AsDuration()),
 		roster:     mtroster.New(),
 		census:     mtcensus.New(site.GetDatacentre()),
@@ -226,6 +230,7 @@
 			f.trail.Warn(mtkind.TargetGone, zap.String("target", id), zap.String("why", "its entry did not come back after the store's outage"))
 			f.listed()
 		}
+		f.limits.Expire()
 		used := map[string]bool{}
 		for _, target := range f.roster.View().All() {
 			used[target.GetAddress()] = true
@@ -241,6 +246,7 @@
 	set.Gauge("requests_live", f.Live)
 	set.Gauge("targets_known", func() int64 { return int64(len(f.roster.View().All())) })
 	set.Gauge("targets_complete_revision", func() int64 { return f.roster.View().Complete() })
+	set.Gauge("targets_limited", func() int64 { return int64(f.limits.Count()) })
 	set.Gauge("peers_live", func() int64 { return int64(len(f.peers.list())) })
 	set.Gauge("entries_counted", func() int64 { return int64(f.entries()) })
 	set.Gauge("store_followed", func() int64 {
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -61,7 +61,7 @@
 		return r.lost(ctx, choice, link, err)
 	}
 	answer := mtspeech.DecodeAnswer(response.StatusCode, response.Header)
-	r.observe(choice, answer)
+	r.observe(choice, answer, sent)
 	if answer.GetRefused() {
 		r.mayHaveRun = before
 		drain(response)
@@ -103,9 +103,10 @@
 	return nil, rejected{why: err.Error(), unreached: true}
 }
 
-// observe takes in what an answer says of its target: that it leaves, or for how long it
-// wants no more requests.
-func (r *request) observe(choice *mtboard.Choice, answer *fleetv1.Answer) {
+// observe takes in what an answer to a request that was sent at a time says of its target:
+// that it leaves, for how long it wants no more requests, or how many it takes.
+func (r *request) observe(choice *mtboard.Choice, answer *fleetv1.Answer, sent time.Time) {
+	r.observeLimit(choice, answer, sent)
 	if answer.GetLeaving() {
 		if target, news := choice.NoteLeaving(answer); news {
 			r.front.trail.Warn(mtkind.TargetLeaving, append(r.fields(), zap.String("target", target),
@@ -209,7 +210,11 @@
 
 // logSent names the target and why it was chosen.
 func (r *request) logSent(choice *mtboard.Choice, link *mtlink.Link) {
-	r.front.trail.Say(mtkind.RequestSent, append(r.fields(),
+	fields := r.fields()
+	if limit, limited := r.front.limits.Rate(choice.Target()); limited {
+		fields = append(fields, zap.Float64("limit", limit))
+	}
+	r.front.trail.Say(mtkind.RequestSent, append(fields,
 		zap.String("target", choice.Target()), zap.Int("try", r.tries),
 		zap.Int64("weights", choice.Version()), zap.Duration("behind", choice.Behind()), zap.Int64("prompt", r.ask.GetPrompt()), zap.Int64("output", r.ask.GetOutput()),
 		zap.String("how", choice.How()), zap.Int64("cached", choice.Matched()), zap.String("fetch", choice.Fetch()),
