Hold the fleet to the limits that targets name

What callers saw: nothing; engines in need got many times the requests that they had asked for. Cause: an answer's Server-Limit was read nowhere, and nothing bounds what all entries together send to one target. The class: a bound that the whole fleet shares, kept by each process for itself or not at all. Ruled out: each entry keeping the limit alone (one entry sent 13 in 4 s at a limit of 1.2), and sends that were chosen before (all were first tries within 12 ms of their arrival). Change: a limit is held as a client account's quota is. Every entry lends its equal share to one allocator, one of the entries that follow the store for all, on which a large fleet agrees; a request to a limited target draws a permit from there (mtlimiter over mtquota, mtallocator). Entries tell each other of limits in digests and draws (mtlimit). A limit ends with an answer that names none to a request that was sent later, or with a later start under the id; entries that are told of the end go back over a second. A target without a permit is left out of the choice, a limited one is no prompt's home, and where all of a service are at their limits a request is refused at once. A repeat is taken from the fleet's bound once, however many targets turn out to be at their limits. Open: an allocator of 356 entries gets 1,700 draws a second while any target is limited.

--- a/internal/admission/mtallocator/allocator.go
+++ b/internal/admission/mtallocator/allocator.go
@@ -310,3 +310,20 @@
 	rate := account.GetRate() * max(s.lent, leastLent)
 	return max(leastWait, time.Duration(max(0, -level)/rate*float64(time.Second)))
 }
+
+// Retain forgets all accounts but some. One that comes back has its burst.
+func (a *Allocator) Retain(kept func(name string) bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.shards {
+		for name := range s.accounts {
+			if kept(name) {
+				continue
+			}
+			delete(s.accounts, name)
+			for _, l := range s.lenders {
+				delete(l.held, name)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/admission/mtlimiter/model_test.go
@@ -0,0 +1,98 @@
+package mtlimiter_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// sizes are those of the fleets: a small one, a large one and that of the largest customer.
+var sizes = []int{1, 4, 30, 356}
+
+// Failure: entries keep to a target's limit each by itself, and all together exceed it, or
+// what the target would take is not used.
+func TestSteadyFleetUsesTheLimit(t *testing.T) {
+	for _, entries := range sizes {
+		rates := []float64{0.5, 1, 1.2, 4, 40}
+		if entries > 100 {
+			rates = []float64{1}
+		}
+		for _, rate := range rates {
+			t.Run(fmt.Sprintf("%d entries, %v a second", entries, rate), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					f := newFleet(5, entries, 20+4*rate)
+					f.run(5 * time.Second)
+					f.limit(rate)
+					f.run(6 * time.Second)
+					sent, from := f.sent, time.Now()
+					f.run(12 * time.Second)
+					g.Expect(f.window.Fault()).To(BeEmpty())
+					g.Expect(f.all.Fault()).To(BeEmpty())
+					got := float64(f.sent-sent) / time.Since(from).Seconds()
+					g.Expect(got).To(BeNumerically(">=", 0.7*rate))
+					t.Logf("%.2f a second, worst %d of %d, %d draws", got, f.all.Worst(), f.all.Allowed(), f.draws)
+				})
+			})
+		}
+	}
+}
+
+// seeds is how many fleets of a size are played.
+func seeds(entries int) uint64 {
+	if entries > 100 {
+		return 1
+	}
+	return 12
+}
+
+// Failure: entries restart, stand still, are cut off or lose datagrams, and those to which
+// nothing happened exceed the limit.
+func TestLimitHoldsThroughTrouble(t *testing.T) {
+	for _, entries := range sizes[1:] {
+		for seed := range seeds(entries) {
+			t.Run(fmt.Sprintf("%d entries, seed %d", entries, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := rand.New(rand.NewPCG(seed, uint64(entries)))
+					rate := []float64{0.5, 1, 3, 20}[r.IntN(4)]
+					f := newFleet(seed, entries, 10+4*rate)
+					f.run(5 * time.Second)
+					f.limit(rate)
+					f.run(time.Duration(r.Int64N(int64(4 * time.Second))))
+					var happened []string
+					for range 5 {
+						kind := events[r.IntN(len(events))]
+						happened = append(happened, kind)
+						f.event(kind)
+					}
+					NewWithT(t).Expect(f.window.Fault()).To(BeEmpty(), "%v at %v a second", happened, rate)
+				})
+			})
+		}
+	}
+}
+
+// Failure: a target that has named a limit names none any more, and entries go on to hold to
+// it, or to send nothing.
+func TestEndOfALimitIsHeard(t *testing.T) {
+	for _, entries := range sizes {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(9, entries, 60)
+				f.limit(0)
+				f.run(12 * time.Second)
+				f.rate = nil
+				f.run(10 * time.Second)
+				sent, refused := f.sent, f.refused
+				f.run(2 * time.Second)
+				g := NewWithT(t)
+				g.Expect(f.refused).To(Equal(refused))
+				g.Expect(f.sent).To(BeNumerically(">", sent+60))
+			})
+		})
+	}
+}
--- a/internal/admission/mtquota/account.go
+++ b/internal/admission/mtquota/account.go
@@ -86,3 +86,22 @@
 		}
 	}
 }
+
+// Blocked is how long an account that has used up its quota draws no credit; 0 where it may
+// ask for some.
+func (q *Quota) Blocked(name string) time.Duration {
+	found, ok := q.accounts.Load(name)
+	if !ok || found.(*account).credit.Load() > 0 {
+		return 0
+	}
+	return max(0, time.Duration(found.(*account).blocked.Load())-time.Since(q.begun))
+}
+
+// Retain forgets all accounts but some.
+func (q *Quota) Retain(kept func(name string) bool) {
+	for name := range q.accounts.Range {
+		if !kept(name.(string)) {
+			q.accounts.Delete(name)
+		}
+	}
+}
--- a/internal/admission/mtquota/shard.go
+++ b/internal/admission/mtquota/shard.go
@@ -72,8 +72,8 @@
 
 // due returns a shard's draws: the end of a lease, the begin of one, or needs and a
 // heartbeat.
-func (q *Quota) due(s *shard, now time.Time, serving []string, needs []*fleetv1.Need) []Message {
-	if candidate := s.elect(now, q.self, serving); candidate != s.candidate {
+func (q *Quota) due(s *shard, now time.Time, allocators []string, needs []*fleetv1.Need) []Message {
+	if candidate := s.elect(now, q.self, allocators); candidate != s.candidate {
 		s.candidate, s.candidateSince = candidate, now
 	}
 	switch {
@@ -82,7 +82,7 @@
 	case s.allocator == "":
 		s.allocator, s.unreported = s.candidate, true
 		return []Message{q.draw(s, nil, nil)}
-	case s.moves(now, q.self, serving):
+	case s.moves(now, allocators):
 		return []Message{q.end(s)}
 	}
 	s.unreported = false
@@ -107,20 +107,20 @@
 }
 
 // moves says that the share should be lent to the candidate.
-func (s *shard) moves(now time.Time, self string, serving []string) bool {
-	ended := s.allocator != self && !slices.Contains(serving, s.allocator)
+func (s *shard) moves(now time.Time, allocators []string) bool {
+	ended := !slices.Contains(allocators, s.allocator)
 	return s.allocator != s.candidate && (ended || now.Sub(s.candidateSince) > settleTime)
 }
 
 // elect returns the entry that should allocate a shard, by rendezvous hashing: all that
-// know the same others agree on it.
-func (s *shard) elect(now time.Time, self string, serving []string) string {
-	best, score := self, xxh3.HashStringSeed(self, uint64(s.number))
-	for _, address := range serving {
+// know the same others agree on it. It is this entry where none of them answers.
+func (s *shard) elect(now time.Time, self string, allocators []string) string {
+	best, score := self, uint64(0)
+	for _, address := range allocators {
 		if now.Before(s.skipped[address]) {
 			continue
 		}
-		if other := xxh3.HashStringSeed(address, uint64(s.number)); other > score {
+		if other := xxh3.HashStringSeed(address, uint64(s.number)); other >= score {
 			best, score = address, other
 		}
 	}
--- a/internal/admission/mtquota/tick.go
+++ b/internal/admission/mtquota/tick.go
@@ -1,6 +1,7 @@
 package mtquota
 
 import (
+	"slices"
 	"time"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
@@ -28,6 +29,11 @@
 // the number of accounts with a quota, serving the other entries that are not about to
 // end, live all others that were heard of.
 func (q *Quota) Tick(limited int, serving, live []string) []Message {
+	return q.TickAmong(limited, append(slices.Clone(serving), q.self), live)
+}
+
+// TickAmong is Tick where only some entries allocate, which may leave out this one.
+func (q *Quota) TickAmong(limited int, allocators, live []string) []Message {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
@@ -51,7 +57,7 @@
 	}
 	var messages []Message
 	for _, s := range q.shards {
-		messages = append(messages, q.due(s, now, serving, needs[s])...)
+		messages = append(messages, q.due(s, now, allocators, needs[s])...)
 	}
 	return messages
 }
--- a/internal/members/mtreader/readers.go
+++ b/internal/members/mtreader/readers.go
@@ -43,7 +43,8 @@
 
 // Readers is what one entry knows of the readers. It is safe for concurrent use.
 type Readers struct {
-	rank uint32
+	address string
+	rank    uint32
 	// interval is the time from one digest to the next, fanout to how many entries each
 	// goes.
 	interval time.Duration
@@ -72,13 +73,15 @@
 	// spoke is when it said last that it is a reader, at the latest.
 	spoke time.Time
 	away  bool
+	// address is where it takes datagrams, "" where nobody has told.
+	address string
 }
 
 // New returns an entry that knows no others. Digests go out each interval, to as many
 // entries as fanout says.
 func New(address string, interval time.Duration, fanout int) *Readers {
 	return &Readers{
-		rank: uint32(xxh3.HashString(address)), interval: interval, fanout: fanout,
+		address: address, rank: uint32(xxh3.HashString(address)), interval: interval, fanout: fanout,
 		known: map[uint32]reader{}, turned: make(chan struct{}), hurried: make(chan struct{}), entries: 1,
 	}
 }
@@ -124,9 +127,17 @@
 	defer r.mu.Unlock()
 	for _, heard := range list {
 		spoke := time.Now().Add(-time.Duration(heard.GetAge()) * time.Millisecond)
-		if heard.GetRank() != r.rank && spoke.After(r.known[heard.GetRank()].spoke) {
-			r.known[heard.GetRank()] = reader{spoke: spoke, away: heard.GetAway()}
+		known := r.known[heard.GetRank()]
+		if heard.GetRank() == r.rank {
+			continue
+		}
+		if spoke.After(known.spoke) {
+			known.spoke, known.away = spoke, heard.GetAway()
 		}
+		if heard.GetAddress() != "" {
+			known.address = heard.GetAddress()
+		}
+		r.known[heard.GetRank()] = known
 	}
 	if len(r.known) > kept*Most {
 		r.first()
@@ -139,7 +150,21 @@
 	defer r.mu.Unlock()
 	var list []*fleetv1.Reader
 	for _, c := range r.first() {
-		list = append(list, &fleetv1.Reader{Rank: c.rank, Age: uint32(time.Since(c.spoke).Milliseconds()), Away: c.away})
+		list = append(list, &fleetv1.Reader{Rank: c.rank, Age: uint32(time.Since(c.spoke).Milliseconds()), Away: c.away, Address: c.address})
+	}
+	return list
+}
+
+// Addresses are those of the readers, as far as they are known, this entry's among them where
+// it is one.
+func (r *Readers) Addresses() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []string
+	for _, c := range r.first() {
+		if c.address != "" {
+			list = append(list, c.address)
+		}
 	}
 	return list
 }
@@ -255,7 +280,7 @@
 		list = append(list, candidate{other, rank})
 	}
 	if !r.joined.IsZero() {
-		list = append(list, candidate{reader{spoke: time.Now(), away: r.away}, r.rank})
+		list = append(list, candidate{reader{spoke: time.Now(), away: r.away, address: r.address}, r.rank})
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(compareAway(a.away, b.away), cmp.Compare(a.rank, b.rank))
--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -45,6 +45,7 @@
 	TargetsListed    Kind = 7055
 	TargetLimited    Kind = 7056
 	TargetUnlimited  Kind = 7057
+	SendWithheld     Kind = 7058
 )
 
 var fleetRows = map[Kind]row{
@@ -74,6 +75,7 @@
 	RequestFailed:    {"request-failed", "a request that may have run ended without a whole answer"},
 	RequestLeft:      {"request-left", "the caller left before the answer's end"},
 	SendUnreached:    {"send-unreached", "a target could not be reached: nothing was sent"},
+	SendWithheld:     {"send-withheld", "a target's limit does not allow a request, which goes to another target"},
 	SendRejected:     {"send-rejected", "a target said that it did not run the request"},
 	SendLost:         {"send-lost", "a target failed or broke off: the request may have run"},
 	SendAgain:        {"send-again", "a request goes to another target"},
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/xxh3"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
 	"github.com/mustardtide/mustardtide/internal/placement/mtdeparture"
 	"github.com/mustardtide/mustardtide/internal/placement/mtholder"
 	"github.com/mustardtide/mustardtide/internal/placement/mtnaming"
@@ -47,6 +48,8 @@
 	// no requests for a time.
 	departures *mtdeparture.Departures
 	pauses     *mtpause.Pauses
+	// limiter holds the fleet to the limits that targets name.
+	limiter *mtlimiter.Limiter
 	// services are the records by service, in the order of their hashes.
 	services map[string][]*record
 	// named are the models' weights, unnamed those of a model of which nothing is known.
@@ -120,11 +123,13 @@
 const endShare = 0.95
 
 // New returns an empty board for an entry of a data centre; allowed is the time
-// after the naming of new weights in which a run may begin on older ones.
-func New(datacentre string, allowed time.Duration) *Board {
+// after the naming of new weights in which a run may begin on older ones. Targets' limits
+// are those of a limiter.
+func New(datacentre string, allowed time.Duration, limiter *mtlimiter.Limiter) *Board {
 	return &Board{
 		datacentre: datacentre,
 		allowed:    allowed,
+		limiter:    limiter,
 		holders:    mtholder.New(),
 		records:    map[string]*record{},
 		departures: mtdeparture.New(),
@@ -149,7 +154,7 @@
 		}
 	}
 	for id, target := range targets {
-		b.departures.Started(id, target.GetBorn())
+		b.started(id, target.GetBorn())
 		r := b.records[id]
 		if r == nil {
 			b.records[id] = &record{board: b, target: target, hash: xxh3.HashString(id), spoke: time.Now()}
@@ -174,7 +179,7 @@
 	if r == nil {
 		return
 	}
-	b.departures.Started(state.GetTarget(), state.GetReport().GetBorn())
+	b.started(state.GetTarget(), state.GetReport().GetBorn())
 	if old := r.state; old != nil && old.GetReport().GetBorn() != state.GetReport().GetBorn() {
 		// The engine has started again under its id: its cache is empty.
 		b.holders.Forget(state.GetTarget())
@@ -193,6 +198,13 @@
 	b.cached(r, state)
 }
 
+// started takes in when a target's program was started: what the one before has said of itself
+// no longer holds.
+func (b *Board) started(id string, born int64) {
+	b.departures.Started(id, born)
+	b.limiter.Started(id, born)
+}
+
 // Unattended lists the model engines whose sidecars have not spoken for a time.
 func (b *Board) Unattended(silence time.Duration) []*fleetv1.Target {
 	b.mu.Lock()
--- a/internal/placement/mtboard/board_test.go
+++ b/internal/placement/mtboard/board_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/gomega"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/placement/mtnaming"
 )
@@ -19,7 +21,7 @@
 
 // board is one with some engines in two data centres.
 func board(engines int) *mtboard.Board {
-	b := mtboard.New("north", allowed)
+	b := mtboard.New("north", allowed, mtlimiter.New("", mtlimit.New()))
 	list := map[string]*fleetv1.Target{}
 	for i := range engines {
 		id := fmt.Sprintf("e%d", i)
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -43,6 +43,8 @@
 	wait     time.Duration
 	bill     bill
 	cost     time.Duration
+	// permitted says that the target's limit allows the request.
+	permitted bool
 	// current says that the cost rests on the sidecar's word of this moment.
 	current bool
 
@@ -233,13 +235,20 @@
 }
 
 // Withdrawn says that the target must not get the request any more, though it was chosen:
-// it has asked for a pause or said that it leaves meanwhile.
+// it has asked for a pause or said that it leaves meanwhile, or it has named a limit and there
+// is no permit for the request.
 func (c *Choice) Withdrawn() bool {
 	c.board.mu.Lock()
 	defer c.board.mu.Unlock()
-	return c.record.leaves() || c.board.pauses.Remaining(c.id) > 0
+	return c.record.leaves() || c.board.pauses.Remaining(c.id) > 0 || !c.permitted && c.board.limiter.Limited(c.id)
 }
 
+// Permit notes that the target's limit allows the request.
+func (c *Choice) Permit() { c.permitted = true }
+
+// Permitted says that it was found to.
+func (c *Choice) Permitted() bool { return c.permitted }
+
 // End notes how the send ended.
 func (c *Choice) End(outcome Outcome) {
 	c.board.mu.Lock()
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -128,6 +128,9 @@
 	if w.query.excluded[c.id] {
 		return lackTried
 	}
+	if w.query.withheld[c.id] || w.query.unlimited && w.board.limiter.Limited(c.id) {
+		return lackLimited
+	}
 	if l := c.record.lack(); l != lackNone || w.query.model() == "" {
 		return l
 	}
@@ -159,7 +162,8 @@
 }
 
 // home is the target of the request's data centre to which its deepest shared
-// part hashes, so that all entries agree on it.
+// part hashes, so that all entries agree on it. A limited target is nobody's: whether it
+// takes a request changes many times a second.
 func (b *Board) home(q *Query) string {
 	part := deepest(q.ask)
 	if part == nil {
@@ -167,7 +171,7 @@
 	}
 	best, home := uint64(0), ""
 	for _, r := range b.services[q.service.GetName()] {
-		if r.target.GetDatacentre() != b.datacentre || !r.usable() {
+		if r.target.GetDatacentre() != b.datacentre || b.limiter.Limited(r.target.GetId()) || !r.usable() {
 			continue
 		}
 		if score := xxh3.HashStringSeed(part.GetId(), r.hash); home == "" || score > best {
--- a/internal/placement/mtboard/plain_test.go
+++ b/internal/placement/mtboard/plain_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/gomega"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 )
 
@@ -16,7 +18,7 @@
 func TestSlowMachineIsLeftAloneForAMoment(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		b := mtboard.New("north", allowed)
+		b := mtboard.New("north", allowed, mtlimiter.New("", mtlimit.New()))
 		b.List(map[string]*fleetv1.Target{
 			"a": {Id: "a", Service: "app", Address: "10.0.0.1:80", Datacentre: "north", Slots: 6},
 			"b": {Id: "b", Service: "app", Address: "10.0.0.2:80", Datacentre: "north", Slots: 6},
--- a/internal/placement/mtboard/query.go
+++ b/internal/placement/mtboard/query.go
@@ -13,6 +13,10 @@
 	ask      *fleetv1.Ask
 	account  *fleetv1.Account
 	excluded map[string]bool
+	// withheld are the limited targets for which the request got no permit; unlimited says
+	// that it draws no more of them.
+	withheld  map[string]bool
+	unlimited bool
 	// cache is the address of a store of cached parts, or "".
 	cache string
 	// aim is the time to the first token within which an answer is worth most.
@@ -50,7 +54,7 @@
 	if aim <= 0 {
 		aim = defaultAim
 	}
-	return &Query{service: service, ask: ask, account: account, excluded: map[string]bool{}, cache: cache, aim: aim}
+	return &Query{service: service, ask: ask, account: account, excluded: map[string]bool{}, withheld: map[string]bool{}, cache: cache, aim: aim}
 }
 
 // Ask is what the caller asks for.
@@ -59,6 +63,16 @@
 // Exclude leaves a target out of later choices.
 func (q *Query) Exclude(target string) { q.excluded[target] = true }
 
+// mostPermits is how many permits a request asks for in vain before it leaves out all limited
+// targets.
+const mostPermits = 3
+
+// Withhold leaves out a limited target for which the request got no permit.
+func (q *Query) Withhold(target string) {
+	q.withheld[target] = true
+	q.unlimited = q.unlimited || len(q.withheld) >= mostPermits
+}
+
 // model is set where the service runs model engines and the request names one.
 func (q *Query) model() string {
 	if q.service.GetModel() == "" {
--- a/internal/placement/mtboard/successor_test.go
+++ b/internal/placement/mtboard/successor_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/gomega"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 )
 
@@ -30,7 +32,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := mtboard.New("north", allowed)
+				b := mtboard.New("north", allowed, mtlimiter.New("", mtlimit.New()))
 				b.List(map[string]*fleetv1.Target{"e0": {
 					Id: "e0", Service: "pool", Address: "10.0.0.1:80", Datacentre: "north", Slots: 8, Born: c.listed,
 					Models: []*fleetv1.Weights{{Model: "m", Version: 1}},
--- a/internal/placement/mtboard/why.go
+++ b/internal/placement/mtboard/why.go
@@ -15,6 +15,7 @@
 	lackLeaving
 	lackMisplaced
 	lackPaused
+	lackLimited
 	lackUnreached
 	lackSilent
 	lackLoading
@@ -28,6 +29,7 @@
 	lackLeaving:   "leaving",
 	lackMisplaced: "replaced",
 	lackPaused:    "asked for a pause",
+	lackLimited:   "at their limits",
 	lackUnreached: "unreached of late",
 	lackSilent:    "silent",
 	lackLoading:   "loading weights",
@@ -43,6 +45,8 @@
 		return lackMisplaced
 	case r.board.pauses.Remaining(r.target.GetId()) > 0:
 		return lackPaused
+	case r.board.limiter.Wait(r.target.GetId()) > 0:
+		return lackLimited
 	case time.Now().Before(r.faults.out):
 		return lackUnreached
 	case r.fresh() && !r.state.GetAnswers():
@@ -89,14 +93,14 @@
 }
 
 // RetryAfter is when a request that no target can take should come back, where all that do not
-// leave have asked for a pause: when the first of these ends. 0 where others may take it
-// sooner.
+// leave have asked for a pause or are at their limits: when the first of them takes requests
+// again. 0 where others may take it sooner.
 func (b *Board) RetryAfter(q *Query) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var first time.Duration
 	for _, r := range b.services[q.service.GetName()] {
-		left := b.pauses.Remaining(r.target.GetId())
+		left := max(b.pauses.Remaining(r.target.GetId()), b.limiter.Wait(r.target.GetId()))
 		switch {
 		case r.leaves():
 		case left == 0:
--- a/internal/placement/mtdirectory/directory_test.go
+++ b/internal/placement/mtdirectory/directory_test.go
@@ -10,6 +10,8 @@
 	. "github.com/onsi/gomega"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/placement/mtdirectory"
 )
@@ -55,7 +57,7 @@
 
 // board is that of an entry in a data centre.
 func (f *fleet) board(place string) *mtboard.Board {
-	b := mtboard.New(place, 8*time.Second)
+	b := mtboard.New(place, 8*time.Second, mtlimiter.New("", mtlimit.New()))
 	b.List(f.list, func(*fleetv1.Target) bool { return false })
 	b.Name(&fleetv1.Weights{Model: "m", Version: 1, Revision: 1})
 	return b
--- a/internal/relay/mtfront/digest.go
+++ b/internal/relay/mtfront/digest.go
@@ -84,9 +84,10 @@
 		digest.Catalog = catalog.Revision()
 	}
 	digest.Bans = f.banned()
-	if f.limited() > 0 {
-		digest.Entries = uint32(f.quota.ObservedSize())
+	if f.limited() > 0 || f.limits.Count() > 0 {
+		digest.Entries = uint32(max(f.quota.ObservedSize(), f.limiter.Observed()))
 	}
+	digest.Limits = f.limits.Recent(maxLimits)
 	digest.Custody, digest.Away = f.standbys.version(), f.away.Load() > 0
 	if f.board.Entries() == 0 {
 		digest.Peers, digest.Named = f.peers.fresh(toldPeers), f.board.Named()
@@ -132,7 +133,13 @@
 	f.readers.Resize(f.entries())
 	f.join()
 	f.readers.Look()
-	return f.readers.Known()
+	known := f.readers.Known()
+	if f.limits.Count() == 0 {
+		for _, reader := range known {
+			reader.Address = ""
+		}
+	}
+	return known
 }
 
 // hearDigest takes in how far another entry knows.
@@ -146,7 +153,9 @@
 	f.readers.Look()
 	if digest.GetEntries() > 0 {
 		f.quota.SetPeerSize(int(digest.GetEntries()))
+		f.limiter.SetPeerSize(int(digest.GetEntries()))
 	}
+	f.logLimits(f.limits.Merge(digest.GetLimits()), digest.GetEntry())
 	f.peers.see(digest.GetPeers(), f.socket.Address())
 	for _, suspect := range digest.GetSuspects() {
 		f.suspects.Crash(suspect.GetDigest(), suspect.GetSource())
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -18,6 +18,7 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtallowance"
 	"github.com/mustardtide/mustardtide/internal/admission/mtclosing"
 	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
 	"github.com/mustardtide/mustardtide/internal/admission/mtquota"
 	"github.com/mustardtide/mustardtide/internal/admission/mtstart"
 	"github.com/mustardtide/mustardtide/internal/members/mtcensus"
@@ -69,9 +70,12 @@
 	// it is in charge.
 	quota     *mtquota.Quota
 	allocator *mtallocator.Allocator
-	// limits are those that targets have named.
+	// limits are those that targets have named, limiter holds the fleet to them.
 	limits  *mtlimit.Limits
-	catalog atomic.Pointer[mtcatalog.Catalog]
+	limiter *mtlimiter.Limiter
+	// limitTold is when a digest went out last for a new limit, as a time since begun.
+	limitTold atomic.Int64
+	catalog   atomic.Pointer[mtcatalog.Catalog]
 	// catalogHeard and targetsHeard are when the first entry of those through which they
 	// came has had them from the store.
 	catalogHeard heard
@@ -112,6 +116,8 @@
 // New returns an entry that knows nothing yet, on a network whose dials are
 // bounded.
 func New(site *fleetv1.Site, network *mtnet.Net, socket mtpulse.Socket, trail *mttrail.Trail) *Front {
+	limits := mtlimit.New()
+	limiter := mtlimiter.New(socket.Address(), limits)
 	f := &Front{
 		begun:      time.Now(),
 		site:       site,
@@ -123,8 +129,9 @@
 		directory:  mtdirectory.New(),
 		quota:      mtquota.New(socket.Address(), site.GetBounds()),
 		allocator:  mtallocator.New(site.GetBounds()),
-		limits:     mtlimit.New(),
-		board:      mtboard.New(site.GetDatacentre(), site.GetBounds().GetWeights().AsDuration()),
+		limits:     limits,
+		limiter:    limiter,
+		board:      mtboard.New(site.GetDatacentre(), site.GetBounds().GetWeights().AsDuration(), limiter),
 		roster:     mtroster.New(),
 		census:     mtcensus.New(site.GetDatacentre()),
 		readers:    mtreader.New(socket.Address(), digestTime, digestPeers),
@@ -181,6 +188,7 @@
 		f.spreadAll,
 		f.learnAll,
 		f.followQuotas,
+		f.followLimits,
 		f.keepSize,
 		f.persistNamings,
 		f.standbys.run,
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -174,6 +174,10 @@
 		f.drawn(from, w.Draw)
 	case *fleetv1.Word_Grant:
 		f.quota.Receive(from, w.Grant)
+	case *fleetv1.Word_Permitdraw:
+		f.permitDrawn(from, w.Permitdraw)
+	case *fleetv1.Word_Permitgrant:
+		f.permitGranted(from, w.Permitgrant)
 	}
 }
 
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -24,6 +24,8 @@
 type rejected struct {
 	why       string
 	unreached bool
+	// withheld says that the target's limit does not allow it.
+	withheld bool
 }
 
 // broken is a send that may have run and brought no whole answer.
@@ -43,6 +45,7 @@
 		return result
 	}
 	r.tries++
+	r.paid = false
 	r.logSent(choice, link)
 	r.notify(choice, false)
 	// The connection ends with the caller and with the request's time: the target
@@ -83,6 +86,18 @@
 // connect returns a connection to the chosen target, or what became of the send without
 // one: nothing was sent.
 func (r *request) connect(ctx context.Context, choice *mtboard.Choice) (*mtlink.Link, result) {
+	if why := r.permit(ctx, choice); why != "" {
+		choice.End(mtboard.Left{})
+		return nil, rejected{why: why, withheld: true}
+	}
+	link, result := r.dial(ctx, choice)
+	if link == nil && choice.Permitted() {
+		r.front.limiter.Refund(choice.Target())
+	}
+	return link, result
+}
+
+func (r *request) dial(ctx context.Context, choice *mtboard.Choice) (*mtlink.Link, result) {
 	chosen := time.Now()
 	link, err := r.front.pool.Take(ctx, choice.Address())
 	r.path.Add(mtlate.Connection, time.Since(chosen))
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -62,6 +62,8 @@
 	// which nothing could be sent.
 	tries     int
 	unreached int
+	// paid says that the next send was taken from the fleet's bound of repeats.
+	paid bool
 	// mayHaveRun says that some target may have worked on the request: from then
 	// on it can't be refused as one that has not run.
 	mayHaveRun bool
@@ -215,10 +217,11 @@
 	var last result = rejected{}
 	for r.mayTry(last) {
 		began := time.Now()
-		if r.tries > 0 && !allowance.Take(r.front.entries()) {
+		if r.tries > 0 && !r.paid && !allowance.Take(r.front.entries()) {
 			r.front.trail.Metrics().Add("retries_denied_total", 1)
 			break
 		}
+		r.paid = r.tries > 0
 		r.front.consult(ctx, r.query)
 		choice := r.front.board.Choose(r.query)
 		if choice == nil {
@@ -234,11 +237,11 @@
 				zap.String("next", choice.Losers()), zap.String("unfit", choice.Unfit()))
 			return
 		}
-		r.query.Exclude(choice.Target())
 		r.path.Add(mtlate.Entry, time.Since(began))
 		chosen := time.Now()
 		last = r.send(ctx, choice)
 		r.path.Failed(time.Since(chosen))
+		r.leaveOut(choice, last)
 		r.log(choice, last)
 		if r.over(ctx, last) {
 			return
@@ -247,6 +250,15 @@
 	r.end(last)
 }
 
+// leaveOut keeps the target out of the request's later choices.
+func (r *request) leaveOut(choice *mtboard.Choice, last result) {
+	if l, ok := last.(rejected); ok && l.withheld {
+		r.query.Withhold(choice.Target())
+		return
+	}
+	r.query.Exclude(choice.Target())
+}
+
 // judge decides whether the request is sent away for now. What has run in part is
 // not, nor anything while the engines' speed is a guess: an idle one would refuse.
 func (r *request) judge(choice *mtboard.Choice) mtshed.Verdict {
@@ -308,7 +320,10 @@
 	switch l := last.(type) {
 	case rejected:
 		kind := mtkind.SendRejected
-		if l.unreached {
+		switch {
+		case l.withheld:
+			kind = mtkind.SendWithheld
+		case l.unreached:
 			kind = mtkind.SendUnreached
 		}
 		r.front.trail.Warn(kind, append(fields, zap.String("why", l.why))...)
--- a/internal/relay/mtfront/size.go
+++ b/internal/relay/mtfront/size.go
@@ -15,13 +15,13 @@
 	sizeTime = time.Second
 	// sizeReads bounds how often an entry that starts asks the store for it.
 	sizeReads = 8
-	// steadyTime is how long an entry must have allocated the quotas, and seen a fleet of
+	// steadyTime is how long an entry must have allocated, and seen a fleet of
 	// one size, to write it.
 	steadyTime = 6 * time.Second
 )
 
 // keepSize reads the fleet's size at the start, and writes it where it has changed and
-// this entry allocates the quotas.
+// this entry allocates by it.
 func (f *Front) keepSize(ctx context.Context) error {
 	reads, stored, seen := 0, 0, 0
 	read := false
@@ -32,23 +32,32 @@
 			return ctx.Err()
 		case <-time.After(sizeTime):
 		}
-		if f.limited() == 0 {
+		if f.limited() == 0 && f.limits.Count() == 0 {
 			continue
 		}
 		if !read && reads < sizeReads {
 			reads++
 			stored, read = f.readSize(ctx)
 		}
-		if size := f.quota.ObservedSize(); size != seen {
+		if size := max(f.quota.ObservedSize(), f.limiter.Observed()); size != seen {
 			seen, since = size, time.Now()
 		}
-		charge, allocates := f.quota.Allocating()
+		charge, allocates := f.allocating()
 		if allocates && min(charge, time.Since(since)) > steadyTime && seen != stored && f.writeSize(ctx, seen) {
 			stored = seen
 		}
 	}
 }
 
+// allocating says that this entry allocates the quotas or, where there are none, the targets'
+// limits, and for how long it has.
+func (f *Front) allocating() (time.Duration, bool) {
+	if f.limited() > 0 {
+		return f.quota.Allocating()
+	}
+	return f.limiter.Allocating()
+}
+
 // readSize takes in the size that the store has; it reports whether the store answered.
 func (f *Front) readSize(ctx context.Context) (int, bool) {
 	size, _, err := f.store.Size(ctx)
@@ -57,6 +66,7 @@
 		return 0, false
 	}
 	f.quota.SetStoredSize(size)
+	f.limiter.SetStoredSize(size)
 	return size, true
 }
 
--- a/platform/standin/mtwindow/window.go
+++ b/internal/standin/mtwindow/window.go
@@ -25,6 +25,14 @@
 	mu     sync.Mutex
 	told   map[string]time.Time
 	visits []visit
+
+	excuses []excuse
+}
+
+// excuse is a time in which an entry's requests do not count.
+type excuse struct {
+	entry    string
+	from, to time.Time
 }
 
 // visit is one request that has come from an entry.
@@ -48,12 +56,19 @@
 	}
 }
 
-// Excuse forgets that an entry was told: it has restarted, stood still or was cut off.
-func (w *Window) Excuse(entry string) {
+// Excuse leaves out what comes from an entry between two times: it has restarted, stood still
+// or was cut off.
+func (w *Window) Excuse(entry string, from, to time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.told, entry)
-	w.visits = slices.DeleteFunc(w.visits, func(v visit) bool { return v.entry == entry })
+	w.excuses = append(w.excuses, excuse{entry, from, to})
+}
+
+// excused says that a request does not count; w is locked.
+func (w *Window) excused(v visit) bool {
+	return slices.ContainsFunc(w.excuses, func(e excuse) bool {
+		return e.entry == v.entry && !v.at.Before(e.from) && v.at.Before(e.to)
+	})
 }
 
 // Visit notes a request that has come from an entry.
@@ -87,7 +102,7 @@
 	defer w.mu.Unlock()
 	var list []time.Time
 	for _, v := range w.visits {
-		if told, ok := w.told[v.entry]; ok && !v.at.Before(told.Add(grace)) {
+		if told, ok := w.told[v.entry]; ok && !v.at.Before(told.Add(grace)) && !w.excused(v) {
 			list = append(list, v.at)
 		}
 	}
--- a/platform/standin/mtwindow/window_test.go
+++ b/internal/standin/mtwindow/window_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/mustardtide/mustardtide/platform/standin/mtwindow"
+	"github.com/mustardtide/mustardtide/internal/standin/mtwindow"
 )
 
 // Failure: the check counts entries that had not been told, or leaves out what comes at the
@@ -15,7 +15,7 @@
 	g := NewWithT(t)
 	w := mtwindow.New(1)
 	begin := time.Now()
-	at := func(d time.Duration) time.Time { return begin.Add(d) }
+	at := begin.Add
 	g.Expect(w.Allowed()).To(Equal(11))
 	g.Expect(mtwindow.New(1.2).Allowed()).To(Equal(12))
 	w.Told("a", at(0))
@@ -29,7 +29,7 @@
 	g.Expect(w.Worst()).To(Equal(11))
 	w.Visit("b", at(1600*time.Millisecond))
 	g.Expect(w.Fault()).NotTo(BeEmpty())
-	w.Excuse("b")
+	w.Excuse("b", at(time.Second), at(2*time.Second))
 	g.Expect(w.Worst()).To(Equal(11))
 	w.Visit("a", at(4500*time.Millisecond))
 	g.Expect(w.Worst()).To(Equal(11))
