Lend shares for longer in a large fleet

Seen: in the model of 356 entries an allocator got 31,490 draws in 18 s while one target was limited, nearly all of them heartbeats; it grows with the fleet. Cause: each entry draws three times in a lease of 0.6 s, whatever the fleet's size. Ruled out: fewer entries that lend: what is not lent is not granted. Change: the lease is as long as all entries need at 3 ms each for three heartbeats, 0.6 s at least, and goes with each draw. An entry counts its share as lent until the last lease of all its draws has ended, as a draw of a shorter one may be lost. Up to 66 entries nothing changes. The price: the share of an allocator that dies is free after 3.2 s at 356 entries, and as long at most do limited targets get less. Conclusion: an allocator's heartbeats no longer grow with the fleet.

--- a/internal/admission/mtallocator/allocator.go
+++ b/internal/admission/mtallocator/allocator.go
@@ -23,8 +23,10 @@
 )
 
 const (
-	// LeaseTime is how long an entry's share stays lent after its last draw.
-	LeaseTime = 600 * time.Millisecond
+	// LeaseTime is the least time for which an entry's share stays lent after its last draw,
+	// longestLease the greatest.
+	LeaseTime    = 600 * time.Millisecond
+	longestLease = 30 * time.Second
 	// gapTime is the time without any draw after which a shard begins anew: its lenders
 	// have lent their shares to others, or the process was frozen.
 	gapTime = 500 * time.Millisecond
@@ -84,6 +86,7 @@
 	number uint64
 	seen   uint64
 	last   time.Time
+	lease  time.Duration
 	// left says that it has ended its lease. It stays known for the lease's time, so that
 	// an earlier draw that comes late does not begin it again.
 	left bool
@@ -120,7 +123,7 @@
 	}
 	overtaken := draw.GetNumber() < l.number
 	if !overtaken {
-		l.last = now
+		l.last, l.lease = now, min(longestLease, max(LeaseTime, draw.GetLease().AsDuration()))
 		l.left = draw.GetLeaves()
 	}
 	s.count(now, entries, !known || l.left)
@@ -159,7 +162,7 @@
 		var lent time.Duration
 		for _, l := range s.lenders {
 			if !l.left {
-				lent += max(0, min(now.Sub(s.at), l.last.Add(LeaseTime).Sub(s.at)))
+				lent += max(0, min(now.Sub(s.at), l.last.Add(l.lease).Sub(s.at)))
 			}
 		}
 		accrued = min(accrued, lent.Seconds()/float64(max(s.entries, 1)))
@@ -212,7 +215,7 @@
 	lent := 0
 	for from, l := range s.lenders {
 		switch {
-		case now.Sub(l.last) > LeaseTime:
+		case now.Sub(l.last) > l.lease:
 			s.remove(from)
 		case !l.left:
 			lent++
--- a/internal/admission/mtquota/shard.go
+++ b/internal/admission/mtquota/shard.go
@@ -5,14 +5,18 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/admission/mtallocator"
 )
 
 const (
-	// heartbeatTime is how often an entry draws at least: a third of the lease.
-	heartbeatTime = mtallocator.LeaseTime / 3
+	// heartbeats is how often an entry draws at least in a lease.
+	heartbeats = 3
+	// lenderTime is what each entry of the fleet adds to the time between heartbeats, so
+	// that an allocator gets no more than a few hundred a second from all.
+	lenderTime = 3 * time.Millisecond
 	// silentTime is how long an allocator may leave a draw unanswered.
 	silentTime = 400 * time.Millisecond
 	// skipTime is how long one that did is not drawn from.
@@ -35,6 +39,10 @@
 	allocator string
 	sent      time.Time
 	answered  time.Time
+	// lease is that of the last draw, until when the last of all ends: a draw of a shorter one
+	// may be lost.
+	lease time.Duration
+	until time.Time
 	// free is when the last lease has ended.
 	free time.Time
 	// candidate is the entry that should allocate, since when.
@@ -53,8 +61,8 @@
 		return
 	}
 	free := time.Time{}
-	if len(q.shards) > 0 {
-		free = now.Add(mtallocator.LeaseTime)
+	for _, s := range q.shards {
+		free = later(free, later(s.until, now.Add(s.lease)))
 	}
 	q.shards = nil
 	for i := range count {
@@ -86,7 +94,7 @@
 		return []Message{q.end(s)}
 	}
 	s.unreported = false
-	if len(needs) == 0 && now.Sub(s.sent) < heartbeatTime {
+	if len(needs) == 0 && now.Sub(s.sent) < s.lease/heartbeats {
 		return nil
 	}
 	messages := []Message{q.draw(s, needs[:min(mostNeeds, len(needs))], nil)}
@@ -130,7 +138,7 @@
 // release ends the lending to an allocator; the share is free once the lease has ended.
 func (s *shard) release() {
 	s.allocator = ""
-	s.free = s.sent.Add(mtallocator.LeaseTime)
+	s.free = s.until
 }
 
 // heard notes that an allocator has answered.
@@ -141,12 +149,27 @@
 	}
 }
 
+// leaseTime is how long this entry lends its share with each draw.
+func (q *Quota) leaseTime() time.Duration {
+	return max(mtallocator.LeaseTime, heartbeats*lenderTime*time.Duration(q.Entries()))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // draw makes a draw from a shard's allocator.
 func (q *Quota) draw(s *shard, needs []*fleetv1.Need, ticket *Ticket) Message {
 	q.number++
-	s.sent = time.Now()
+	s.sent, s.lease = time.Now(), q.leaseTime()
+	s.until = later(s.until, s.sent.Add(s.lease))
 	q.pending[q.number] = &pending{shard: s, to: s.allocator, at: s.sent, ticket: ticket}
-	return Message{to: s.allocator, draw: &fleetv1.Draw{Shard: s.number, Run: q.run, Number: q.number, Needs: needs}}
+	return Message{to: s.allocator, draw: &fleetv1.Draw{
+		Shard: s.number, Run: q.run, Number: q.number, Needs: needs, Lease: durationpb.New(s.lease),
+	}}
 }
 
 // expire gives up draws whose answers do not come.
--- a/internal/admission/mtquota/shard_test.go
+++ b/internal/admission/mtquota/shard_test.go
@@ -63,3 +63,26 @@
 		}
 	})
 }
+
+// Failure: each entry of a large fleet draws several times a second, and the allocator of
+// hundreds spends its time on heartbeats; or an entry lends its share elsewhere while an earlier,
+// longer lease may hold.
+func TestHeartbeatsOfALargeFleet(t *testing.T) {
+	for entries, most := range map[int]int{4: 50, 30: 50, 356: 10, 712: 5} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			quota := mtquota.New("10.1.0.1:7340", bounds)
+			draws, last := 0, time.Duration(0)
+			for range 200 {
+				quota.SetPeerSize(entries)
+				for _, message := range quota.Tick(1, []string{"10.1.0.2:7340"}, nil) {
+					draws, last = draws+1, message.Draw().GetLease().AsDuration()
+				}
+				time.Sleep(mtquota.TickTime)
+			}
+			g.Expect(draws).To(BeNumerically("<=", most+2), "10 s of %d entries", entries)
+			g.Expect(float64(draws*entries) / 10).To(BeNumerically("<", 360))
+			g.Expect(last).To(BeNumerically(">=", mtallocator.LeaseTime))
+		})
+	}
+}
