--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
 
-.PHONY: build test format lint vet unit generate proofs measure overhead run-local bench docs capacity soak soak-leaving compare
+.PHONY: build test format lint vet unit generate proofs measure overhead run-local bench docs capacity soak soak-leaving soak-limits compare
 
 build:
 	go build -o $(BIN)/ . ./cmd/...
@@ -37,6 +37,10 @@
 soak-leaving:
 	SOAK=$${SEEDS:-1-50} go test -count=1 -timeout 30m -parallel $${AT_ONCE:-8} -run '^TestSoakLeavingTargets$$' ./platform/standin/mtsoak
 
+# The same with targets that name how many requests they take.
+soak-limits:
+	SOAK=$${SEEDS:-1-50} go test -count=1 -timeout 30m -parallel $${AT_ONCE:-8} -run '^TestSoakLimitedTargets$$' ./platform/standin/mtsoak
+
 # What entry and sidecar add to a direct call, on loopback, in one run.
 overhead:
 	go test -run '^$$' -bench Overhead -benchtime 1x ./internal/lab/mtoverhead | grep -v '^INFO'
