Give an entry that starts no slack of repeats until it has run for a window

What callers would see: after a restart of all entries, a service that fails everything gets more repeats than the operators' bound, just when there is least to spare. A part that was spent before the restart counts in the same window. Ruled out: keeping the spent part anywhere; no machine has a disk, and the store would be written at each repeat. Change: the slack counts only once the process has run for a window; until then an entry repeats by the ratio of its own requests. The window begins with the process, not with the service's first request. Conclusion: restarts bring no repeats of their own.

--- a/internal/admission/mtallowance/allowance.go
+++ b/internal/admission/mtallowance/allowance.go
@@ -5,7 +5,8 @@
 // each failed request is sent once more, just when there is least to spare. The
 // fleet's bound is, for any window, a ratio of the service's requests and some
 // slack. Entries do not ask each other: each spends the ratio of its own
-// requests and an equal part of the slack.
+// requests and an equal part of the slack, once it has run for a window: the process before
+// it may have spent that part, and it does not know yet how many entries there are.
 package mtallowance
 
 import (
@@ -20,8 +21,7 @@
 	// margin is the part of the fleet's bound that is spent: what is left covers
 	// entries that do not know of each other yet, and uneven clocks.
 	margin = 0.7
-	// fewest is the least number of entries that the slack is divided by: a
-	// restarted entry does not know its peers yet.
+	// fewest is the least number of entries that the slack is divided by.
 	fewest = 4
 )
 
@@ -30,8 +30,8 @@
 	ratio  float64
 	slack  float64
 	bucket time.Duration
-	// begun is monotonic: a step of the wall clock moves no bucket.
-	begun time.Time
+	// started is monotonic: a step of the wall clock moves no bucket.
+	started time.Time
 
 	mu       sync.Mutex
 	requests [buckets + 1]float64
@@ -39,10 +39,10 @@
 	current  int64
 }
 
-// New returns an allowance for a fleet's bound: ratio of the requests and slack
-// in each window.
-func New(ratio, slack float64, window time.Duration) *Allowance {
-	return &Allowance{ratio: ratio, slack: slack, bucket: max(window/buckets, time.Millisecond), begun: time.Now()}
+// New returns an allowance for a fleet's bound: ratio of the requests and slack in each
+// window. started is when the entry's process was.
+func New(ratio, slack float64, window time.Duration, started time.Time) *Allowance {
+	return &Allowance{ratio: ratio, slack: slack, bucket: max(window/buckets, time.Millisecond), started: started}
 }
 
 // Request counts a caller's request.
@@ -74,14 +74,18 @@
 
 // left is the bound less what was spent; the allowance is locked.
 func (a *Allowance) left(entries int) float64 {
-	return margin*(a.ratio*sum(a.requests)+a.slack/float64(max(entries, fewest))) - sum(a.repeats)
+	part := 0.0
+	if a.current > buckets {
+		part = a.slack / float64(max(entries, fewest))
+	}
+	return margin*(a.ratio*sum(a.requests)+part) - sum(a.repeats)
 }
 
 // advance clears the buckets that have left the window and returns the present
 // one.
 func (a *Allowance) advance() int {
 	const ring = buckets + 1
-	now := int64(time.Since(a.begun) / a.bucket)
+	now := int64(time.Since(a.started) / a.bucket)
 	for n := max(a.current+1, now-ring+1); n <= now; n++ {
 		a.requests[n%ring] = 0
 		a.repeats[n%ring] = 0
--- a/internal/admission/mtallowance/allowance_test.go
+++ b/internal/admission/mtallowance/allowance_test.go
@@ -21,7 +21,7 @@
 		synctest.Test(t, func(*testing.T) {
 			var fleet []*mtallowance.Allowance
 			for range entries {
-				fleet = append(fleet, mtallowance.New(ratio, slack, window))
+				fleet = append(fleet, mtallowance.New(ratio, slack, window, time.Now().Add(-2*window)))
 			}
 			type moment struct{ requests, repeats int }
 			var past []moment
@@ -58,7 +58,7 @@
 func TestSlack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		a := mtallowance.New(0.2, 40, 10*time.Second)
+		a := mtallowance.New(0.2, 40, 10*time.Second, time.Now().Add(-11*time.Second))
 		taken := 0
 		for range 100 {
 			if a.Take(4) {
@@ -71,3 +71,40 @@
 		g.Expect(a.Left(4)).To(BeNumerically("~", 6, 0.01))
 	})
 }
+
+// Failure: all entries restart while a service fails everything, and each spends its part of the
+// slack once more within the window, or that of a fleet of which it knows a few.
+func TestRestartOfAllBringsNoMoreRepeats(t *testing.T) {
+	const ratio, slack, window = 0.2, 50.0, 10 * time.Second
+	for _, entries := range []int{4, 30, 356} {
+		synctest.Test(t, func(t *testing.T) {
+			requests, repeats := 0, 0
+			fleet := make([]*mtallowance.Allowance, entries)
+			start := func() {
+				for i := range fleet {
+					fleet[i] = mtallowance.New(ratio, slack, window, time.Now())
+				}
+			}
+			press := func(known int) {
+				for range max(1, 100/entries) {
+					for _, a := range fleet {
+						a.Request()
+						requests++
+						if a.Take(known) {
+							repeats++
+						}
+					}
+				}
+			}
+			start()
+			time.Sleep(window)
+			press(entries)
+			for range 3 {
+				start()
+				time.Sleep(time.Second)
+				press(2)
+			}
+			NewWithT(t).Expect(float64(repeats)).To(BeNumerically("<=", ratio*float64(requests)+slack), "%d entries", entries)
+		})
+	}
+}
--- a/internal/members/mtcensus/census_test.go
+++ b/internal/members/mtcensus/census_test.go
@@ -115,7 +115,7 @@
 		repeats := 0
 		var allowances []*mtallowance.Allowance
 		for range size {
-			allowances = append(allowances, mtallowance.New(ratio, slack, window))
+			allowances = append(allowances, mtallowance.New(ratio, slack, window, time.Now().Add(-2*window)))
 		}
 		const requests = 20
 		for i, e := range f.entries {
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -289,7 +289,7 @@
 	a := f.allowances[service]
 	if a == nil {
 		bounds := f.site.GetBounds()
-		a = mtallowance.New(bounds.GetRatio(), bounds.GetSlack(), bounds.GetWindow().AsDuration())
+		a = mtallowance.New(bounds.GetRatio(), bounds.GetSlack(), bounds.GetWindow().AsDuration(), f.begun)
 		f.allowances[service] = a
 	}
 	return a
