Copy a limit's rate into what others are told

Cause: a message to others pointed at the rate that the next answer changes, while it was being encoded. In a process that could send a rate of neither of the two. Ruled out: other places; all three reports name the same write and the same read. Change: the rate is copied. Tests: TestWhatIsToldDoesNotChange, red before; the tests of limits pass under the race detector.

--- a/internal/admission/mtlimit/limits.go
+++ b/internal/admission/mtlimit/limits.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
@@ -265,7 +266,7 @@
 func (k *limit) told(target string) *fleetv1.Limit {
 	told := &fleetv1.Limit{Target: target, Born: k.born, Age: durationpb.New(time.Since(k.said))}
 	if k.named {
-		told.Rate = &k.rate
+		told.Rate = proto.Float64(k.rate)
 	}
 	return told
 }
--- a/internal/admission/mtlimit/limits_test.go
+++ b/internal/admission/mtlimit/limits_test.go
@@ -151,6 +151,18 @@
 	})
 }
 
+// Failure: what others are about to be told of a limit changes while it is sent.
+func TestWhatIsToldDoesNotChange(t *testing.T) {
+	bubble(t, func(g Gomega, l *mtlimit.Limits) {
+		l.Hear("a", 0, named(2), time.Now())
+		of, recent := l.Of("a"), l.Recent(1)
+		time.Sleep(time.Second)
+		l.Hear("a", 0, named(5), time.Now())
+		g.Expect(of.GetRate()).To(Equal(2.0))
+		g.Expect(recent[0].GetRate()).To(Equal(2.0))
+	})
+}
+
 // Failure: a limit that has ended is forgotten while others still tell of it, or never.
 func TestEndedLimitIsForgottenInTime(t *testing.T) {
 	bubble(t, func(g Gomega, l *mtlimit.Limits) {
