--- a/internal/admission/mtlimiter/limiter.go
+++ b/internal/admission/mtlimiter/limiter.go
@@ -188,8 +188,5 @@
 // Observed is the size of the fleet as this entry has seen it itself of late.
 func (l *Limiter) Observed() int { return l.quota.ObservedSize() }
 
-// Allocator is the entry that allocates a target's permits, "" for none.
-func (l *Limiter) Allocator(target string) string { return l.quota.Allocator(target) }
-
 // Allocating says that this entry allocates, and for how long it has.
 func (l *Limiter) Allocating() (time.Duration, bool) { return l.quota.Allocating() }
