Say in logs which software version serves a stream and which attempt it takes up

The logs could not tell whether an entry or a caller had gone on with a stream at a target of another software version: no line had the version, the attempt that was resumed or the caller's last event. The version is read from a target's entry, and Resumes from callers' requests; nothing is decided by them yet.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -332,6 +332,14 @@
 // vouches for its service, and no other program can have the address so soon.
 func (r *record) successor() bool { return time.Since(r.vouched) < vouchTime }
 
+// build is the software version of the program at the address; "" where it is not known.
+func (r *record) build() string {
+	if r.successor() {
+		return ""
+	}
+	return r.target.GetBuild()
+}
+
 // fresh says that the sidecar's word is recent.
 func (r *record) fresh() bool {
 	return r.state != nil && time.Since(r.heard) < stateTime
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -19,6 +19,7 @@
 	// changes.
 	address string
 
+	build   string
 	version int64
 	// behind is how long newer weights had been named; 0 for the newest.
 	behind  time.Duration
@@ -71,6 +72,10 @@
 	return c.id
 }
 
+// Build is the software version of the chosen target's program; "" where it is not known, as
+// that of a successor that is not listed yet.
+func (c *Choice) Build() string { return c.build }
+
 // Incarnation names the target and, where that is known, its start.
 func (c *Choice) Incarnation() string {
 	c.board.mu.Lock()
@@ -158,6 +163,7 @@
 
 // begin counts the send; the board is locked.
 func (c *Choice) begin() {
+	c.build = c.record.build()
 	c.since = time.Now()
 	c.record.running++
 	c.record.pending += c.reads
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -114,7 +114,7 @@
 func (f *Front) tellTarget(before, now *fleetv1.Target, source string) {
 	fields := []zap.Field{
 		zap.String("target", now.GetId()), zap.String("service", now.GetService()),
-		zap.String("address", now.GetAddress()), zap.Int64("revision", now.GetRevision()), zap.String("from", source),
+		zap.String("address", now.GetAddress()), zap.String("build", now.GetBuild()), zap.Int64("revision", now.GetRevision()), zap.String("from", source),
 	}
 	switch {
 	case now.GetLeaving() && !before.GetLeaving():
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -226,12 +226,12 @@
 
 // logSent names the target and why it was chosen.
 func (r *request) logSent(choice *mtboard.Choice, link *mtlink.Link) {
-	fields := r.fields()
+	fields := append(r.fields(), r.tookUp()...)
 	if limit, limited := r.front.limits.Rate(choice.Target()); limited {
 		fields = append(fields, zap.Float64("limit", limit))
 	}
 	r.front.trail.Say(mtkind.RequestSent, append(fields,
-		zap.String("target", choice.Target()), zap.Int("try", r.tries),
+		zap.String("target", choice.Target()), zap.String("build", choice.Build()), zap.Int("try", r.tries),
 		zap.Int64("weights", choice.Version()), zap.Duration("behind", choice.Behind()), zap.Int64("prompt", r.ask.GetPrompt()), zap.Int64("output", r.ask.GetOutput()),
 		zap.String("how", choice.How()), zap.Int64("cached", choice.Matched()), zap.String("fetch", choice.Fetch()),
 		zap.Duration("cost", choice.Cost()), zap.String("next", choice.Losers()), zap.String("unfit", choice.Unfit()), zap.Bool("kept", link.Reused()),
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -322,7 +322,8 @@
 }
 
 func (r *request) log(choice *mtboard.Choice, last result) {
-	fields := append(r.fields(), zap.String("target", choice.Target()), zap.Int("try", r.tries))
+	fields := append(r.fields(), zap.String("target", choice.Target()), zap.String("build", choice.Build()), zap.Int("try", r.tries))
+	fields = append(fields, r.tookUp()...)
 	switch l := last.(type) {
 	case rejected:
 		kind := mtkind.SendRejected
@@ -339,6 +340,19 @@
 	}
 }
 
+// tookUp says, of a request that takes a stream up, which request began the stream, and of a
+// stream that goes on elsewhere too, which event the caller has last.
+func (r *request) tookUp() []zap.Field {
+	last := r.ask.GetResume()
+	if r.delivered != nil {
+		last = r.delivered.Last()
+	}
+	if r.ask.GetBegun() == "" && last == "" {
+		return nil
+	}
+	return []zap.Field{zap.String("begun", r.ask.GetBegun()), zap.String("after", last)}
+}
+
 // fields name the request in a log line.
 func (r *request) fields() []zap.Field {
 	return []zap.Field{
