Go on with a broken stream at its software version alone

Callers of resumable streams got one text of two versions: an entry that went on with a stream after a break chose among all targets of the service.

Cause: nothing knew a target's version, so no choice could ask for one. The version of the target whose events the caller gets first is now pinned to the request, and later choices leave out every target that does not surely run it: one whose entry names none, and one that was started after its entry was written, as it may have its id. Where no target is left the answer is cut at once, and Retry-After counts the version's targets alone.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -332,9 +332,10 @@
 // vouches for its service, and no other program can have the address so soon.
 func (r *record) successor() bool { return time.Since(r.vouched) < vouchTime }
 
-// build is the software version of the program at the address; "" where it is not known.
+// build is the software version of the program at the address; "" where it is not known, as
+// that of a program that was started after the listed one, which may have the same id.
 func (r *record) build() string {
-	if r.successor() {
+	if born := r.target.GetBorn(); born > 0 && r.state.GetReport().GetBorn() > born {
 		return ""
 	}
 	return r.target.GetBuild()
--- /dev/null
+++ b/internal/placement/mtboard/build_test.go
@@ -0,0 +1,77 @@
+package mtboard_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
+	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
+	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
+)
+
+// mixedBoard knows engines e0 to e3 of builds a, b, a and one whose entry names none.
+func mixedBoard() *mtboard.Board {
+	b := mtboard.New("north", allowed, mtlimiter.New("", mtlimit.New()))
+	list := map[string]*fleetv1.Target{}
+	for i, build := range []string{"a", "b", "a", ""} {
+		id := fmt.Sprint("e", i)
+		list[id] = &fleetv1.Target{
+			Id: id, Service: "pool", Address: fmt.Sprintf("10.0.0.%d:80", i), Datacentre: "north", Slots: 16, Build: build,
+			Models: []*fleetv1.Weights{{Model: "m", Version: 1}}, Born: 1,
+		}
+	}
+	b.List(list, func(*fleetv1.Target) bool { return false })
+	b.Name(&fleetv1.Weights{Model: "m", Version: 1, Revision: 1})
+	return b
+}
+
+// Failure: a stream goes on at a target of another build, or of one that is not known.
+func TestPinnedStreamGoesToItsBuildAlone(t *testing.T) {
+	for build, want := range map[string][]string{"a": {"e0", "e2"}, "b": {"e1"}, "c": nil, "": nil} {
+		g := NewWithT(t)
+		b, q := mixedBoard(), query(500, "q", "own")
+		q.Pin(build)
+		var got []string
+		for c := b.Choose(q); c != nil; c = b.Choose(q) {
+			g.Expect(c.Build()).To(Equal(build))
+			got = append(got, c.Target())
+			q.Exclude(c.Target())
+		}
+		g.Expect(got).To(ConsistOf(want))
+		g.Expect(b.Lacks(q)).To(ContainSubstring("of other software versions"))
+	}
+}
+
+// Failure: a program has started anew, the store still tells of the one before, and a stream goes
+// on there as if the software were the same.
+func TestPinnedStreamDoesNotGoToAProgramThatIsNotListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b, q := mixedBoard(), query(500, "q", "own")
+		q.Pin("b")
+		c := b.Choose(q)
+		g.Expect(c.Build()).To(Equal("b"))
+		b.Hear(&fleetv1.State{Target: "e1", Service: "pool", Answers: true, Report: &fleetv1.Report{Born: 2}})
+		g.Expect(b.Choose(q)).To(BeNil())
+		time.Sleep(3 * time.Second)
+		g.Expect(b.Choose(q)).To(BeNil(), "the sidecar has not spoken for a while")
+	})
+}
+
+// Failure: a caller whose stream no target of its build takes is told to come back at once, as
+// targets of other builds are free.
+func TestRetryAfterCountsTheBuildAlone(t *testing.T) {
+	g := NewWithT(t)
+	b, q := mixedBoard(), query(500, "q", "own")
+	q.Pin("b")
+	c := b.Choose(q)
+	c.NotePause(&fleetv1.Answer{Pause: durationpb.New(3 * time.Second)})
+	g.Expect(b.RetryAfter(q)).To(BeNumerically(">", 0))
+	g.Expect(b.RetryAfter(query(500, "q", "own"))).To(BeZero())
+}
--- a/internal/placement/mtboard/choose.go
+++ b/internal/placement/mtboard/choose.go
@@ -128,6 +128,9 @@
 	if w.query.excluded[c.id] {
 		return lackTried
 	}
+	if w.query.foreign(c.record) {
+		return lackBuild
+	}
 	if w.query.withheld[c.id] || w.query.unlimited && w.board.limiter.Limited(c.id) {
 		return lackLimited
 	}
--- a/internal/placement/mtboard/query.go
+++ b/internal/placement/mtboard/query.go
@@ -17,6 +17,9 @@
 	// that it draws no more of them.
 	withheld  map[string]bool
 	unlimited bool
+	// pinned says that only targets of a build may go on with the stream.
+	pinned bool
+	build  string
 	// cache is the address of a store of cached parts, or "".
 	cache string
 	// aim is the time to the first token within which an answer is worth most.
@@ -63,6 +66,15 @@
 // Exclude leaves a target out of later choices.
 func (q *Query) Exclude(target string) { q.excluded[target] = true }
 
+// Pin leaves out all targets whose programs are not surely of a build: what two builds write of
+// one stream does not fit together.
+func (q *Query) Pin(build string) { q.pinned, q.build = true, build }
+
+// foreign says that a target must not go on with the stream.
+func (q *Query) foreign(r *record) bool {
+	return q.pinned && (q.build == "" || r.build() != q.build)
+}
+
 // mostPermits is how many permits a request asks for in vain before it leaves out all limited
 // targets.
 const mostPermits = 3
--- a/internal/placement/mtboard/why.go
+++ b/internal/placement/mtboard/why.go
@@ -12,6 +12,7 @@
 const (
 	lackNone lack = iota
 	lackTried
+	lackBuild
 	lackLeaving
 	lackMisplaced
 	lackPaused
@@ -26,6 +27,7 @@
 // reasons are what the lacks are called in logs and refusals.
 var reasons = [lacks]string{
 	lackTried:     "tried",
+	lackBuild:     "of other software versions",
 	lackLeaving:   "leaving",
 	lackMisplaced: "replaced",
 	lackPaused:    "asked for a pause",
@@ -102,7 +104,7 @@
 	for _, r := range b.services[q.service.GetName()] {
 		left := max(b.pauses.Remaining(r.target.GetId()), b.limiter.Wait(r.target.GetId()))
 		switch {
-		case r.leaves():
+		case r.leaves() || q.foreign(r):
 		case left == 0:
 			return 0
 		case first == 0 || left < first:
--- a/internal/relay/mtfront/deliver.go
+++ b/internal/relay/mtfront/deliver.go
@@ -90,7 +90,7 @@
 	err = r.writeBody(body)
 	if err == nil && !ended {
 		var more int
-		more, err = r.copyEvents(response.Body)
+		more, err = r.copyEvents(response.Body, func() {})
 		size += more
 	}
 	if err != nil {
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -74,6 +74,8 @@
 	// delivered is what the caller has of a stream that another target goes on
 	// with.
 	delivered *mtresume.Resume
+	// opened says that the caller has events of the stream.
+	opened bool
 }
 
 // ServeHTTP takes a caller's request.
--- a/internal/relay/mtfront/stream.go
+++ b/internal/relay/mtfront/stream.go
@@ -23,7 +23,7 @@
 		}
 		r.out.WriteHeader(response.StatusCode)
 	}
-	count, err := r.copyEvents(response.Body)
+	count, err := r.copyEvents(response.Body, func() { r.open(choice, answer) })
 	var gone *callerError
 	switch {
 	case errors.As(err, &gone):
@@ -57,9 +57,24 @@
 // callerError is a failure to write to the caller.
 type callerError struct{ error }
 
+// open notes which target's events the caller is about to get first: whoever goes on with the
+// stream must run the same software.
+func (r *request) open(choice *mtboard.Choice, answer *fleetv1.Answer) {
+	if r.opened {
+		return
+	}
+	r.opened = true
+	build := choice.Build()
+	if other := answer.GetTarget(); other != "" && other != choice.Target() {
+		build = ""
+	}
+	r.query.Pin(build)
+}
+
 // copyEvents passes bytes on as they come; of a resumable stream only whole
-// events, so that another target can go on after the last of them.
-func (r *request) copyEvents(from io.Reader) (int, error) {
+// events, so that another target can go on after the last of them. It calls open before it
+// passes any on.
+func (r *request) copyEvents(from io.Reader, open func()) (int, error) {
 	buffer := make([]byte, copySize)
 	if r.delivered != nil {
 		r.delivered.Begin()
@@ -75,6 +90,9 @@
 		if r.delivered != nil {
 			chunk = r.delivered.Take(chunk, closed)
 		}
+		if len(chunk) > 0 {
+			open()
+		}
 		if failure := r.pass(chunk); failure != nil {
 			return count, failure
 		}
