Let a stream that its caller takes up go on at the version that began it

Callers whose stream broke off take it up at any entry, with Last-Event-Id and in Resumes the request that brought its first event.

Cause: what began a stream was known to nobody but the entry that passed it on, and an entry that did not know took any target. Now, right before the caller gets the first event, the entry tells the stream's service and version to two sidecars, found by a hash over the instances, and to two other entries while the service has had several versions of late; while it has, it tells those of its live streams again twice a second. An entry at which a stream is taken up asks them, at most 250 ms, and pins the version. What nobody knows goes on only where the service has had one version for longer than streams last (twice the route's time-out and 5 s), as seen by this entry and not contradicted by those asked; else it is refused at once, not run. A stream stays with the service that began it; one of another account is unknown; two versions told of one stream are a dispute, which is refused. A stream that was taken up is not shed.

Weighed: asking all entries afterwards (the one that knows is the one that died); the platform's store (a priced call a stream, and nothing while it is away); the version computed from the request's id (needs the same list of versions at all entries at both times).

--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -46,6 +46,7 @@
 	TargetLimited    Kind = 7056
 	TargetUnlimited  Kind = 7057
 	SendWithheld     Kind = 7058
+	StreamTakenUp    Kind = 7059
 )
 
 var fleetRows = map[Kind]row{
@@ -74,6 +75,7 @@
 	RequestRejected:  {"request-rejected", "a request that has not run was refused"},
 	RequestFailed:    {"request-failed", "a request that may have run ended without a whole answer"},
 	RequestLeft:      {"request-left", "the caller left before the answer's end"},
+	StreamTakenUp:    {"stream-taken-up", "a caller takes up a stream that broke off: which request began it, and on which software version it goes on"},
 	SendUnreached:    {"send-unreached", "a target could not be reached: nothing was sent"},
 	SendWithheld:     {"send-withheld", "a target's limit does not allow a request, which goes to another target"},
 	SendRejected:     {"send-rejected", "a target said that it did not run the request"},
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -10,6 +10,7 @@
 
 import (
 	"math"
+	"strings"
 	"sync"
 	"time"
 
@@ -74,6 +75,8 @@
 	board  *Board
 	target *fleetv1.Target
 	hash   uint64
+	// place is the hash of the instance at whose address the target is.
+	place uint64
 
 	// pending are the prompt tokens sent and not yet read; running the requests
 	// of this entry under way.
@@ -157,11 +160,11 @@
 		b.started(id, target.GetBorn())
 		r := b.records[id]
 		if r == nil {
-			b.records[id] = &record{board: b, target: target, hash: xxh3.HashString(id), spoke: time.Now()}
+			b.records[id] = &record{board: b, target: target, hash: xxh3.HashString(id), place: placeOf(target), spoke: time.Now()}
 			continue
 		}
 		if r.target.GetAddress() != target.GetAddress() {
-			r.misplaced = false
+			r.misplaced, r.place = false, placeOf(target)
 		}
 		r.target = target
 	}
@@ -171,6 +174,11 @@
 	b.sort()
 }
 
+func placeOf(target *fleetv1.Target) uint64 {
+	host, _, _ := strings.Cut(target.GetAddress(), ":")
+	return xxh3.HashString(host)
+}
+
 // Hear takes in a sidecar's word.
 func (b *Board) Hear(state *fleetv1.State) {
 	b.mu.Lock()
--- a/internal/placement/mtboard/build_test.go
+++ b/internal/placement/mtboard/build_test.go
@@ -13,6 +13,7 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
 	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
+	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 )
 
 // mixedBoard knows engines e0 to e3 of builds a, b, a and one whose entry names none.
@@ -75,3 +76,33 @@
 	g.Expect(b.RetryAfter(q)).To(BeNumerically(">", 0))
 	g.Expect(b.RetryAfter(query(500, "q", "own"))).To(BeZero())
 }
+
+// Failure: the entry that tells where a stream began, and the one that asks, come to different
+// sidecars, as programs have started anew under other ids or a sidecar is gone.
+func TestAttendantsAreTheSameForAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		one, other := mixedBoard(), mixedBoard()
+		for i := range 4 {
+			one.Hear(state(fmt.Sprint("e", i), 1))
+		}
+		list := map[string]*fleetv1.Target{}
+		for i := range 4 {
+			list[fmt.Sprint("new", i)] = &fleetv1.Target{
+				Id: fmt.Sprint("new", i), Service: "pool", Address: fmt.Sprintf("10.0.0.%d:81", i), Datacentre: "north",
+				Models: []*fleetv1.Weights{{Model: "m", Version: 1}},
+			}
+		}
+		other.List(list, func(*fleetv1.Target) bool { return false })
+		key := []byte("stream")
+		told := one.Attendants(key, 2, true, time.Second)
+		asked := other.Attendants(key, 4, false, time.Second)
+		g.Expect(told).To(HaveLen(2))
+		for i, address := range told {
+			g.Expect(mtports.Host(asked[i])).To(Equal(mtports.Host(address)))
+		}
+		time.Sleep(9 * time.Second)
+		g.Expect(one.Attendants(key, 2, true, time.Second)).To(BeEmpty())
+		g.Expect(one.Attendants(key, 2, false, time.Second)).To(Equal(told))
+	})
+}
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -25,6 +25,7 @@
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 	"github.com/mustardtide/mustardtide/internal/relay/mtrollout"
 	"github.com/mustardtide/mustardtide/internal/relay/mtwords"
+	"github.com/mustardtide/mustardtide/internal/request/mtorigin"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/platform/mtobjects"
 )
@@ -60,6 +61,8 @@
 	held    *mtheld.Log
 	// directory is the sidecar's share of who holds which parts.
 	directory *mtdirectory.Directory
+	// origins is its share of what began which streams.
+	origins *mtorigin.Origins
 	// target is the engine's id as the entries know it.
 	target string
 	report *fleetv1.Report
@@ -88,6 +91,7 @@
 		entries:   mtentries.New(),
 		held:      mtheld.New(),
 		directory: mtdirectory.New(),
+		origins:   mtorigin.New(),
 		report:    &fleetv1.Report{},
 		failed:    lostAfter,
 	}
--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -24,6 +24,15 @@
 		}
 	case *fleetv1.Call_Notice:
 		s.directory.Take(c.Notice)
+	case *fleetv1.Call_Origins:
+		for _, origin := range c.Origins.GetOrigins() {
+			if !s.origins.Take(origin) {
+				s.trail.Metrics().Add("origins_dropped_total", 1)
+			}
+		}
+	case *fleetv1.Call_Lookup:
+		found := &fleetv1.Found{Ask: c.Lookup.GetAsk(), Origin: s.origins.Find(c.Lookup.GetStream())}
+		s.words.Send(from, &fleetv1.Word{Word: &fleetv1.Word_Found{Found: found}})
 	case *fleetv1.Call_Seek:
 		s.words.Send(from, &fleetv1.Word{Word: &fleetv1.Word_Sought{Sought: s.directory.Answer(c.Seek)}})
 	}
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -21,6 +21,7 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
 	"github.com/mustardtide/mustardtide/internal/admission/mtquota"
 	"github.com/mustardtide/mustardtide/internal/admission/mtstart"
+	"github.com/mustardtide/mustardtide/internal/members/mtbuilds"
 	"github.com/mustardtide/mustardtide/internal/members/mtcensus"
 	"github.com/mustardtide/mustardtide/internal/members/mtfollow"
 	"github.com/mustardtide/mustardtide/internal/members/mtreader"
@@ -33,6 +34,7 @@
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 	"github.com/mustardtide/mustardtide/internal/relay/mtwords"
+	"github.com/mustardtide/mustardtide/internal/request/mtorigin"
 	"github.com/mustardtide/mustardtide/internal/request/mtquarantine"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
@@ -66,6 +68,12 @@
 	// directory is the entry's share of who holds which parts, where there are no
 	// sidecars.
 	directory *mtdirectory.Directory
+	// origins is the entry's share of what began which streams, builds the software versions of
+	// late; streams are those that the entry passes on, lookups its questions to others.
+	origins *mtorigin.Origins
+	builds  *mtbuilds.Builds
+	streams streams
+	lookups lookups
 	// quota is the entry's part of the accounts' quotas, allocator grants those of which
 	// it is in charge.
 	quota     *mtquota.Quota
@@ -127,6 +135,8 @@
 		words:      mtwords.New(socket, trail.Metrics()),
 		trail:      trail,
 		directory:  mtdirectory.New(),
+		origins:    mtorigin.New(),
+		builds:     mtbuilds.New(),
 		quota:      mtquota.New(socket.Address(), site.GetBounds()),
 		allocator:  mtallocator.New(site.GetBounds()),
 		limits:     limits,
@@ -191,6 +201,7 @@
 		f.followLimits,
 		f.keepSize,
 		f.persistNamings,
+		f.tellOrigins,
 		f.standbys.run,
 		f.standbys.follow,
 	}
@@ -255,6 +266,7 @@
 	set.Gauge("targets_known", func() int64 { return int64(len(f.roster.View().All())) })
 	set.Gauge("targets_complete_revision", func() int64 { return f.roster.View().Complete() })
 	set.Gauge("targets_limited", func() int64 { return int64(f.limits.Count()) })
+	set.Gauge("origins_kept", func() int64 { return int64(f.origins.Len()) })
 	set.Gauge("peers_live", func() int64 { return int64(len(f.peers.list())) })
 	set.Gauge("entries_counted", func() int64 { return int64(f.entries()) })
 	set.Gauge("store_followed", func() int64 {
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -205,6 +205,12 @@
 		f.words.Send(from, &fleetv1.Word{Word: &fleetv1.Word_Sought{Sought: f.directory.Answer(w.Seek)}})
 	case *fleetv1.Word_Sought:
 		f.sought(from, w.Sought)
+	case *fleetv1.Word_Origins:
+		f.hearOrigins(w.Origins)
+	case *fleetv1.Word_Lookup:
+		f.answerLookup(from, w.Lookup)
+	case *fleetv1.Word_Found:
+		f.lookups.take(from, w.Found)
 	case *fleetv1.Word_Draw:
 		f.drawn(from, w.Draw)
 	case *fleetv1.Word_Grant:
--- a/internal/relay/mtfront/keeper.go
+++ b/internal/relay/mtfront/keeper.go
@@ -10,8 +10,8 @@
 	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 )
 
-// keeper is a process that keeps the holders of some parts: a sidecar, or an entry where
-// there are none.
+// keeper is a process that keeps the holders of some parts, or the origins of some streams: a
+// sidecar, or an entry.
 type keeper interface {
 	// name is where it takes datagrams.
 	name() string
@@ -33,6 +33,10 @@
 		call.Call = &fleetv1.Call_Seek{Seek: m}
 	case *fleetv1.Notice:
 		call.Call = &fleetv1.Call_Notice{Notice: m}
+	case *fleetv1.Origins:
+		call.Call = &fleetv1.Call_Origins{Origins: m}
+	case *fleetv1.Lookup:
+		call.Call = &fleetv1.Call_Lookup{Lookup: m}
 	}
 	f.words.Send(k.words, call)
 }
@@ -49,6 +53,10 @@
 		word.Word = &fleetv1.Word_Seek{Seek: m}
 	case *fleetv1.Notice:
 		word.Word = &fleetv1.Word_Notice{Notice: m}
+	case *fleetv1.Origins:
+		word.Word = &fleetv1.Word_Origins{Origins: m}
+	case *fleetv1.Lookup:
+		word.Word = &fleetv1.Word_Lookup{Lookup: m}
 	}
 	f.words.Send(k.words, word)
 }
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -262,6 +262,7 @@
 func (f *Front) listed() {
 	view := f.roster.View()
 	f.board.List(view.All(), view.Replaced)
+	f.builds.See(view.All(), view.Complete() > 0)
 	f.digest()
 	f.start.Tell()
 	if !f.greeted.Load() {
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -74,8 +74,13 @@
 	// delivered is what the caller has of a stream that another target goes on
 	// with.
 	delivered *mtresume.Resume
-	// opened says that the caller has events of the stream.
+	// origin is what began a stream that the caller takes up; opened says that the caller has
+	// events of this answer.
+	origin *fleetv1.Origin
 	opened bool
+	// kept are the origins that other processes are to keep, until when.
+	kept      []*fleetv1.Origin
+	keptUntil time.Time
 }
 
 // ServeHTTP takes a caller's request.
@@ -217,9 +222,16 @@
 // serve sends the request to one target after another until an answer is
 // delivered or nothing more may be tried.
 func (r *request) serve(ctx context.Context) {
+	if !r.locate(ctx) {
+		return
+	}
+	defer r.front.streams.end(r)
 	allowance := r.front.allowance(r.service.GetName())
 	allowance.Request()
 	r.query = mtboard.NewQuery(r.service, r.ask, r.account, r.front.catalog.Load().Cache(mtboard.Home(r.ask)), r.route.GetAim().AsDuration())
+	if r.origin != nil {
+		r.query.Pin(r.origin.GetBuild())
+	}
 	r.path.Add(mtlate.Entry, time.Since(r.begun))
 	var last result = rejected{}
 	for r.mayTry(last) {
@@ -267,9 +279,9 @@
 }
 
 // judge decides whether the request is sent away for now. What has run in part is
-// not, nor anything while the engines' speed is a guess: an idle one would refuse.
+// not, here or at an earlier try of the caller, nor anything while the engines' speed is a guess: an idle one would refuse.
 func (r *request) judge(choice *mtboard.Choice) mtshed.Verdict {
-	if r.delivered != nil || r.tries > 0 || !choice.Known() || r.front.without.shedding {
+	if r.delivered != nil || r.origin != nil || r.tries > 0 || !choice.Known() || r.front.without.shedding {
 		return mtshed.Verdict{}
 	}
 	return mtshed.Decide(r.rank(), choice.Estimate(), choice.Wait(), r.route.GetAim().AsDuration(), time.Until(r.until), r.route.GetTimeout().AsDuration())
--- a/internal/relay/mtfront/stream.go
+++ b/internal/relay/mtfront/stream.go
@@ -69,6 +69,9 @@
 		build = ""
 	}
 	r.query.Pin(build)
+	if r.route.GetResumable() {
+		r.keep(build)
+	}
 }
 
 // copyEvents passes bytes on as they come; of a resumable stream only whole
--- a/internal/relay/mtwords/words.go
+++ b/internal/relay/mtwords/words.go
@@ -80,6 +80,10 @@
 		return "notice"
 	case *fleetv1.Call_Seek:
 		return "seek"
+	case *fleetv1.Call_Origins:
+		return "origins"
+	case *fleetv1.Call_Lookup:
+		return "lookup"
 	default:
 		return "other"
 	}
@@ -100,6 +104,12 @@
 		return "seek"
 	case *fleetv1.Word_Sought:
 		return "sought"
+	case *fleetv1.Word_Origins:
+		return "origins"
+	case *fleetv1.Word_Lookup:
+		return "lookup"
+	case *fleetv1.Word_Found:
+		return "found"
 	case *fleetv1.Word_Draw:
 		return "draw"
 	case *fleetv1.Word_Grant:
