A soak of targets of several software versions

Engines of two versions serve side by side and start anew with others, callers leave their streams and take them up again, beside kills, stops, freezes and cuts. A stream's events must be of one version over all tries.

A stream that does not go on within its answer says what its targets lack.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
 
-.PHONY: build test format lint vet unit generate proofs measure overhead run-local bench docs capacity soak soak-leaving soak-limits soak-forms compare
+.PHONY: build test format lint vet unit generate proofs measure overhead run-local bench docs capacity soak soak-leaving soak-limits soak-forms soak-builds compare
 
 build:
 	go build -o $(BIN)/ . ./cmd/...
@@ -45,6 +45,10 @@
 soak-forms:
 	SOAK=$${SEEDS:-1-50} go test -count=1 -timeout 30m -parallel $${AT_ONCE:-8} -run '^TestSoakFormsOfAnswers$$' ./platform/standin/mtsoak
 
+# The same with targets of several software versions, whose callers take streams up again.
+soak-builds:
+	SOAK=$${SEEDS:-1-50} go test -count=1 -timeout 30m -parallel $${AT_ONCE:-8} -run '^TestSoakBuilds$$' ./platform/standin/mtsoak
+
 # What entry and sidecar add to a direct call, on loopback, in one run.
 overhead:
 	go test -run '^$$' -bench Overhead -benchtime 1x ./internal/lab/mtoverhead | grep -v '^INFO'
--- a/internal/relay/mtfront/refuse.go
+++ b/internal/relay/mtfront/refuse.go
@@ -75,7 +75,8 @@
 // breakOff ends a stream whose beginning the caller has: closing the connection
 // shows that it is not whole.
 func (r *request) breakOff(why string) {
-	r.front.trail.Warn(mtkind.RequestFailed, append(r.fields(), zap.String("why", "not resumed: "+why))...)
+	fields := append(r.fields(), zap.String("why", "not resumed: "+why), zap.String("lacks", r.front.board.Lacks(r.query)))
+	r.front.trail.Warn(mtkind.RequestFailed, append(fields, r.tookUp()...)...)
 	r.abort()
 }
 
