One place names a service that the configuration may not know

Read the change as a newcomer: the refusals of streams that can't go on have a name of their own, and a stream's service is resolved as any request's is.

--- a/internal/relay/mtfront/lookup.go
+++ b/internal/relay/mtfront/lookup.go
@@ -83,7 +83,7 @@
 	r.front.trail.Metrics().Add(`streams_taken_up_total{origin="`+how+`"}`, 1)
 	fields := []zap.Field{zap.String("begun", r.ask.GetBegun()), zap.String("after", r.ask.GetResume()),
 		zap.String("build", origin.GetBuild()), zap.String("origin", how), zap.String("from", from)}
-	if why := lost[how]; why != "" {
+	if why := unservable[how]; why != "" {
 		r.reject(why, comeBack, fields...)
 		return false
 	}
@@ -92,23 +92,22 @@
 	return true
 }
 
-// lost tells callers why their streams can't go on.
-var lost = map[string]string{
+// unservable tells callers why their streams can't go on.
+var unservable = map[string]string{
 	originUnknown:  "it is not known which software version began the stream; begin it anew",
 	originDisputed: "several software versions are said to have begun the stream; begin it anew",
 	originMoved:    "the route no longer leads to the service that began the stream; begin it anew",
 }
 
-// lead lets the request go to the service that began the stream, where its route leads there.
+// lead sends the request to the service that began the stream, where its route leads there. It
+// returns how the origin was found, or why the stream can't go on.
 func (r *request) lead(origin *fleetv1.Origin, how string) string {
 	if origin.GetDisputed() {
 		return originDisputed
 	}
 	for _, share := range r.route.GetShares() {
 		if share.GetService() == origin.GetService() && share.GetWeight() > 0 {
-			if service := r.front.catalog.Load().Service(origin.GetService()); service != nil {
-				r.service = service
-			}
+			r.service = r.front.service(origin.GetService())
 			return how
 		}
 	}
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -169,14 +169,18 @@
 			return false
 		}
 	}
-	name := mtcatalog.Pick(r.route)
-	r.service = catalog.Service(name)
-	if r.service == nil {
-		r.service = &fleetv1.Service{Name: name}
-	}
+	r.service = r.front.service(mtcatalog.Pick(r.route))
 	return true
 }
 
+// service is one of the configuration's, or one of which only the name is known.
+func (f *Front) service(name string) *fleetv1.Service {
+	if service := f.catalog.Load().Service(name); service != nil {
+		return service
+	}
+	return &fleetv1.Service{Name: name}
+}
+
 // timeout is the least of what the caller and the route allow.
 func (r *request) timeout() time.Duration {
 	timeout := r.route.GetTimeout().AsDuration()
