Look at a sidecar's liveness last when a stream's keepers are drawn

The hash decides first now, over a list that is made when targets change: 17 to 0.7 µs at 18, 8.5 µs at 625, 29 µs at 2,700. Other entries are ranked by one hash each.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -51,8 +51,10 @@
 	pauses     *mtpause.Pauses
 	// limiter holds the fleet to the limits that targets name.
 	limiter *mtlimiter.Limiter
-	// services are the records by service, in the order of their hashes.
+	// services are the records by service, in the order of their hashes, engines those of model
+	// engines that no other has replaced.
 	services map[string][]*record
+	engines  []*record
 	// named are the models' weights, unnamed those of a model of which nothing is known.
 	named   map[string]*mtnaming.Naming
 	unnamed *mtnaming.Naming
@@ -168,8 +170,12 @@
 		}
 		r.target = target
 	}
+	b.engines = nil
 	for _, r := range b.records {
 		r.replaced = replaced(r.target)
+		if len(r.target.GetModels()) > 0 && !r.replaced {
+			b.engines = append(b.engines, r)
+		}
 	}
 	b.sort()
 }
--- a/internal/placement/mtboard/seek.go
+++ b/internal/placement/mtboard/seek.go
@@ -98,33 +98,34 @@
 // centre that are not heard are passed over. Each sidecar of the data centre is heard after round.
 func (b *Board) Attendants(key []byte, most int, live bool, round time.Duration) []string {
 	type ranked struct {
-		address string
-		score   uint64
+		record *record
+		score  uint64
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	best := make([]ranked, 0, most+1)
-	recent := max(keeperTime, keeperRounds*round)
-	for _, r := range b.records {
-		if len(r.target.GetModels()) == 0 || r.replaced || live && !r.speaks(recent) {
+	now, recent := time.Now(), max(keeperTime, keeperRounds*round)
+	for _, r := range b.engines {
+		score := xxh3.HashSeed(key, r.place)
+		full := len(best) == most && score <= best[most-1].score
+		if full || live && !r.speaks(now, recent) {
 			continue
 		}
-		next := ranked{r.target.GetAddress(), xxh3.HashSeed(key, r.place)}
-		best = keepBest(best, next, most, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+		best = keepBest(best, ranked{r, score}, most, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
 	}
 	list := make([]string, 0, len(best))
 	for _, next := range best {
-		list = append(list, next.address)
+		list = append(list, next.record.target.GetAddress())
 	}
 	return list
 }
 
 // speaks says that the sidecar may be expected to answer.
-func (r *record) speaks(recent time.Duration) bool {
-	if time.Now().Before(r.muted) {
+func (r *record) speaks(now time.Time, recent time.Duration) bool {
+	if now.Before(r.muted) {
 		return false
 	}
-	return r.target.GetDatacentre() != r.board.datacentre || r.attended && time.Since(r.spoke) <= recent
+	return r.target.GetDatacentre() != r.board.datacentre || r.attended && now.Sub(r.spoke) <= recent
 }
 
 // Salts are those under which the prompt's parts may be cached now, the newest weights'
--- a/internal/relay/mtfront/origin.go
+++ b/internal/relay/mtfront/origin.go
@@ -1,6 +1,7 @@
 package mtfront
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -160,17 +161,19 @@
 
 // originEntries are the other entries that do.
 func (f *Front) originEntries(stream []byte, most int) []keeper {
+	type ranked struct {
+		address string
+		score   uint64
+	}
 	peers := f.peers.list()
-	score := func(address string) uint64 { return xxh3.HashSeed(stream, xxh3.HashString(address)) }
-	slices.SortFunc(peers, func(a, b string) int {
-		if score(a) > score(b) {
-			return -1
-		}
-		return 1
-	})
-	var list []keeper
-	for _, address := range peers[:min(most, len(peers))] {
-		list = append(list, entryKeeper{address})
+	ranks := make([]ranked, 0, len(peers))
+	for _, address := range peers {
+		ranks = append(ranks, ranked{address, xxh3.HashSeed(stream, xxh3.HashString(address))})
+	}
+	slices.SortFunc(ranks, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	list := make([]keeper, 0, most)
+	for _, next := range ranks[:min(most, len(ranks))] {
+		list = append(list, entryKeeper{next.address})
 	}
 	return list
 }
