Work out once whether a service has several builds when origins are told

Each half second an entry looked which of its streams' services have several software versions, and then, stream by stream, again while telling them. The caller of tell says it now. The keepers that are asked are sorted by the library's own call. What is sent, when and to whom is as before.

Lint of the relay packages clean; the tests of builds, origins and taken-up streams pass.

--- a/internal/relay/mtfront/lookup.go
+++ b/internal/relay/mtfront/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -167,12 +168,7 @@
 			asked[k.name()] = k
 		}
 	}
-	names := make([]string, 0, len(asked))
-	for name := range asked {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	search := mtsearch.New(names)
+	search := mtsearch.New(slices.Sorted(maps.Keys(asked)))
 	number := f.lookups.begin(search)
 	defer f.lookups.end(number)
 	lookup := &fleetv1.Lookup{Ask: number, Stream: stream, Service: r.service.GetName(), Span: uint32(r.span().Milliseconds())}
--- a/internal/relay/mtfront/origin.go
+++ b/internal/relay/mtfront/origin.go
@@ -74,7 +74,7 @@
 		r.front.hearOrigin(origin)
 	}
 	r.front.streams.begin(r)
-	r.front.tell([]*request{r})
+	r.front.tell([]*request{r}, r.front.mixed(r))
 }
 
 // named is the digest of the stream that a request of the same account began.
@@ -113,7 +113,7 @@
 				mixed = append(mixed, r)
 			}
 		}
-		f.tell(mixed)
+		f.tell(mixed, true)
 	}
 	return ctx.Err()
 }
@@ -125,11 +125,10 @@
 }
 
 // tell tells the processes that keep them what began some streams: sidecars, which few faults
-// stop together with entries, and entries too where another build could go on with the stream.
-func (f *Front) tell(list []*request) {
+// stop together with entries, and entries too where another build could go on with the streams.
+func (f *Front) tell(list []*request, mixed bool) {
 	batches := map[keeper][]*fleetv1.Origin{}
 	for _, r := range list {
-		mixed := f.mixed(r)
 		for _, origin := range r.lasting() {
 			sidecars := f.originSidecars(origin.GetStream(), originCopies, true)
 			for _, k := range sidecars {
