Let a killed process of the ground send nothing more

Cause: in the stand-ins, an entry that was killed told the origins of its open streams once more as its loop ended. Sidecars and entries that had already started anew at that instant heard it, knew where the streams began, and let them go on, at the version that began them. A trace of two failing plays shows it: the streams that went on are exactly those that were told after the kill. A real process sends nothing after SIGKILL.

Ruled out: a stream that went on elsewhere (the first check, none joined, held in each failing play); an origin taken for granted (an entry that has just started knows no time with one version).

Change: a kill or restart in the ground closes the process's datagram socket, so that what its goroutines still send is lost. The check is as it was. The product is not changed.

--- a/internal/standin/mtpost/post.go
+++ b/internal/standin/mtpost/post.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -50,6 +51,17 @@
 	return s
 }
 
+// Close closes the socket at an address: its process was killed, and sends nothing more even
+// where its goroutines have not ended yet.
+func (p *Post) Close(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.sockets[address]; s != nil {
+		s.closed = true
+		delete(p.sockets, address)
+	}
+}
+
 type datagram struct {
 	from string
 	data []byte
@@ -59,6 +71,7 @@
 	post    *Post
 	address string
 	waiting chan datagram
+	closed  bool
 }
 
 func (s *socket) Address() string { return s.address }
@@ -69,6 +82,10 @@
 		return 0, err
 	}
 	s.post.mu.Lock()
+	if s.closed {
+		s.post.mu.Unlock()
+		return 0, net.ErrClosed
+	}
 	s.post.sent[s.address]++
 	receiver := s.post.sockets[to]
 	lost := receiver == nil || s.post.cut[to] || s.post.cut[s.address]
