--- a/internal/standin/mtpost/post.go
+++ b/internal/standin/mtpost/post.go
@@ -19,20 +19,35 @@
 type Post struct {
 	mu      sync.Mutex
 	sockets map[string]*socket
-	cut     map[string]bool
-	sent    map[string]int
+	// muted are the addresses from which datagrams are lost, deafened those to which they are.
+	muted    map[string]bool
+	deafened map[string]bool
+	sent     map[string]int
 }
 
 // New returns a network without sockets.
 func New() *Post {
-	return &Post{sockets: map[string]*socket{}, cut: map[string]bool{}, sent: map[string]int{}}
+	return &Post{sockets: map[string]*socket{}, muted: map[string]bool{}, deafened: map[string]bool{}, sent: map[string]int{}}
 }
 
 // Cut lets all datagrams to and from an address be lost, or none any more.
 func (p *Post) Cut(address string, cut bool) {
+	p.Mute(address, cut)
+	p.Deafen(address, cut)
+}
+
+// Mute lets all datagrams from an address be lost, or none any more.
+func (p *Post) Mute(address string, mute bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.muted[address] = mute
+}
+
+// Deafen lets all datagrams to an address be lost, or none any more.
+func (p *Post) Deafen(address string, deafen bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cut[address] = cut
+	p.deafened[address] = deafen
 }
 
 // Sent counts the datagrams that were sent from an address.
@@ -88,7 +103,7 @@
 	}
 	s.post.sent[s.address]++
 	receiver := s.post.sockets[to]
-	lost := receiver == nil || s.post.cut[to] || s.post.cut[s.address]
+	lost := receiver == nil || s.post.deafened[to] || s.post.muted[s.address]
 	s.post.mu.Unlock()
 	if lost {
 		return len(data), nil
