Name what resumes streams in the field's terms

Replicas store a stream's origin, an entry resolves it by a lookup, origins are replicated and republished; comments follow. Messages, log lines and metrics keep their names.

One change beside names: the loop that republishes origins ends with its context.

Tests of the touched packages and the ground's tests of streams and builds pass.

--- a/internal/members/mtbuilds/builds.go
+++ b/internal/members/mtbuilds/builds.go
@@ -1,7 +1,5 @@
-// Package mtbuilds keeps which software versions the targets of each service have had of late.
-//
-// The failure it answers is a stream of unknown origin that goes on at the only version that is
-// listed now, while another one, which has just left, began it.
+// Package mtbuilds records which software versions each service's targets have run recently: a
+// version that has just left may have begun a stream whose origin is unknown.
 package mtbuilds
 
 import (
@@ -11,23 +9,22 @@
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 )
 
-// keptTime is how long a build that has left is remembered: longer than any stream.
-const keptTime = 15 * time.Minute
+// retention is how long a build that has left is remembered: longer than any stream.
+const retention = 15 * time.Minute
 
-// Builds is one process's memory. It is safe for concurrent use.
+// Builds is one process's record. It is safe for concurrent use.
 type Builds struct {
 	mu sync.Mutex
 	// since is when the first complete list was known.
 	since time.Time
-	// left are the times at which a service's builds were last seen, the zero time for those
-	// that are listed.
+	// left are the times at which a service's builds were last listed; zero for those that are.
 	left map[string]map[string]time.Time
 }
 
-// New remembers nothing.
+// New returns an empty record.
 func New() *Builds { return &Builds{left: map[string]map[string]time.Time{}} }
 
-// See takes in the targets that are listed now; complete says that no other is.
+// See records the targets that are listed now; complete says that there are no others.
 func (b *Builds) See(targets map[string]*fleetv1.Target, complete bool) {
 	now := time.Now()
 	b.mu.Lock()
@@ -40,7 +37,7 @@
 			switch {
 			case left.IsZero():
 				builds[build] = now
-			case now.Sub(left) > keptTime:
+			case now.Sub(left) > retention:
 				delete(builds, build)
 			}
 		}
@@ -56,8 +53,8 @@
 	}
 }
 
-// Only returns the one build that a service's targets have had within a time; false where there
-// were several, where it is not known or where the time is not overlooked.
+// Only returns the one build that a service's targets have run within a time; false where there
+// were several, where it is unknown or where the record does not reach that far back.
 func (b *Builds) Only(service string, within time.Duration) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -68,7 +65,7 @@
 	return list[0], true
 }
 
-// Several says that a service's targets surely have had more than one build within a time.
+// Several reports whether a service's targets are known to have run several builds within a time.
 func (b *Builds) Several(service string, within time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -51,8 +51,8 @@
 	pauses     *mtpause.Pauses
 	// limiter holds the fleet to the limits that targets name.
 	limiter *mtlimiter.Limiter
-	// services are the records by service, in the order of their hashes, engines those of model
-	// engines that no other has replaced.
+	// services are the records by service, in the order of their hashes; engines are those of
+	// model engines that have not been replaced.
 	services map[string][]*record
 	engines  []*record
 	// named are the models' weights, unnamed those of a model of which nothing is known.
@@ -77,7 +77,7 @@
 	board  *Board
 	target *fleetv1.Target
 	hash   uint64
-	// place is the hash of the instance at whose address the target is.
+	// place is the hash of the instance's address.
 	place uint64
 
 	// pending are the prompt tokens sent and not yet read; running the requests
@@ -346,8 +346,8 @@
 // vouches for its service, and no other program can have the address so soon.
 func (r *record) successor() bool { return time.Since(r.vouched) < vouchTime }
 
-// build is the software version of the program at the address; "" where it is not known, as
-// that of a program that was started after the listed one, which may have the same id.
+// build is the software version of the program at the address; "" where it is unknown, as after
+// a restart that is not listed yet.
 func (r *record) build() string {
 	if born := r.target.GetBorn(); born > 0 && r.state.GetReport().GetBorn() > born {
 		return ""
--- a/internal/placement/mtboard/build_test.go
+++ b/internal/placement/mtboard/build_test.go
@@ -95,14 +95,14 @@
 		}
 		other.List(list, func(*fleetv1.Target) bool { return false })
 		key := []byte("stream")
-		told := one.Attendants(key, 2, true, time.Second)
-		asked := other.Attendants(key, 4, false, time.Second)
+		told := one.SidecarsOf(key, 2, true, time.Second)
+		asked := other.SidecarsOf(key, 4, false, time.Second)
 		g.Expect(told).To(HaveLen(2))
 		for i, address := range told {
 			g.Expect(mtports.Host(asked[i])).To(Equal(mtports.Host(address)))
 		}
 		time.Sleep(9 * time.Second)
-		g.Expect(one.Attendants(key, 2, true, time.Second)).To(BeEmpty())
-		g.Expect(one.Attendants(key, 2, false, time.Second)).To(Equal(told))
+		g.Expect(one.SidecarsOf(key, 2, true, time.Second)).To(BeEmpty())
+		g.Expect(one.SidecarsOf(key, 2, false, time.Second)).To(Equal(told))
 	})
 }
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -72,8 +72,8 @@
 	return c.id
 }
 
-// Build is the software version of the chosen target's program; "" where it is not known, as
-// that of a successor that is not listed yet.
+// Build is the software version of the chosen target's program; "" where it is unknown, as that
+// of a successor that is not listed yet.
 func (c *Choice) Build() string { return c.build }
 
 // Incarnation names the target and, where that is known, its start.
--- a/internal/placement/mtboard/query.go
+++ b/internal/placement/mtboard/query.go
@@ -17,7 +17,7 @@
 	// that it draws no more of them.
 	withheld  map[string]bool
 	unlimited bool
-	// pinned says that only targets of a build may go on with the stream.
+	// pinned restricts the choice to targets of one build.
 	pinned bool
 	build  string
 	// cache is the address of a store of cached parts, or "".
@@ -66,11 +66,11 @@
 // Exclude leaves a target out of later choices.
 func (q *Query) Exclude(target string) { q.excluded[target] = true }
 
-// Pin leaves out all targets whose programs are not surely of a build: what two builds write of
-// one stream does not fit together.
+// Pin restricts later choices to targets known to run a build: the output of two builds does not
+// fit together.
 func (q *Query) Pin(build string) { q.pinned, q.build = true, build }
 
-// foreign says that a target must not go on with the stream.
+// foreign reports whether a target may run another build than the pinned one.
 func (q *Query) foreign(r *record) bool {
 	return q.pinned && (q.build == "" || r.build() != q.build)
 }
--- a/internal/placement/mtboard/seek.go
+++ b/internal/placement/mtboard/seek.go
@@ -92,11 +92,11 @@
 	return list
 }
 
-// Attendants lists the addresses of the model engines whose sidecars keep what a key names, the
-// first of them first. They are drawn by their instances, which stay when programs start anew.
-// Where only live ones are asked for, those that have not answered of late and those of the data
-// centre that are not heard are passed over. Each sidecar of the data centre is heard after round.
-func (b *Board) Attendants(key []byte, most int, live bool, round time.Duration) []string {
+// SidecarsOf lists the addresses of the model engines whose sidecars store a key, the preferred
+// first. They are selected by rendezvous hashing over instances, so that a restart under a new id
+// changes nothing. With live set, sidecars that have not answered recently, and those of this data
+// centre without a heartbeat, are passed over. round is the heartbeat interval there.
+func (b *Board) SidecarsOf(key []byte, most int, live bool, round time.Duration) []string {
 	type ranked struct {
 		record *record
 		score  uint64
@@ -108,7 +108,7 @@
 	for _, r := range b.engines {
 		score := xxh3.HashSeed(key, r.place)
 		full := len(best) == most && score <= best[most-1].score
-		if full || live && !r.speaks(now, recent) {
+		if full || live && !r.reachable(now, recent) {
 			continue
 		}
 		best = keepBest(best, ranked{r, score}, most, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
@@ -120,8 +120,8 @@
 	return list
 }
 
-// speaks says that the sidecar may be expected to answer.
-func (r *record) speaks(now time.Time, recent time.Duration) bool {
+// reachable reports whether the sidecar may be expected to answer.
+func (r *record) reachable(now time.Time, recent time.Duration) bool {
 	if now.Before(r.muted) {
 		return false
 	}
--- a/internal/placement/mtboard/seek_bench_test.go
+++ b/internal/placement/mtboard/seek_bench_test.go
@@ -11,7 +11,7 @@
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 )
 
-func BenchmarkAttendants(b *testing.B) {
+func BenchmarkSidecarsOf(b *testing.B) {
 	for _, engines := range []int{18, 625, 2700} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
 			board := mtboard.New("north", allowed, mtlimiter.New("", mtlimit.New()))
@@ -29,7 +29,7 @@
 			}
 			stream := []byte("0123456789abcdef")
 			for b.Loop() {
-				board.Attendants(stream, 2, true, time.Second)
+				board.SidecarsOf(stream, 2, true, time.Second)
 			}
 		})
 	}
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -61,7 +61,7 @@
 	held    *mtheld.Log
 	// directory is the sidecar's share of who holds which parts.
 	directory *mtdirectory.Directory
-	// origins is its share of what began which streams.
+	// origins are the stream origins that this sidecar stores.
 	origins *mtorigin.Origins
 	// target is the engine's id as the entries know it.
 	target string
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -68,8 +68,8 @@
 	// directory is the entry's share of who holds which parts, where there are no
 	// sidecars.
 	directory *mtdirectory.Directory
-	// origins is the entry's share of what began which streams, builds the software versions of
-	// late; streams are those that the entry passes on, lookups its questions to others.
+	// origins are the stream origins that this entry stores, builds the recent software versions
+	// of each service; streams are those passed on here, lookups those in progress.
 	origins *mtorigin.Origins
 	builds  *mtbuilds.Builds
 	streams streams
@@ -201,7 +201,7 @@
 		f.followLimits,
 		f.keepSize,
 		f.persistNamings,
-		f.tellOrigins,
+		f.republishOrigins,
 		f.standbys.run,
 		f.standbys.follow,
 	}
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -206,7 +206,7 @@
 	case *fleetv1.Word_Sought:
 		f.sought(from, w.Sought)
 	case *fleetv1.Word_Origins:
-		f.hearOrigins(w.Origins)
+		f.receiveOrigins(w.Origins)
 	case *fleetv1.Word_Lookup:
 		f.answerLookup(from, w.Lookup)
 	case *fleetv1.Word_Found:
--- a/internal/relay/mtfront/keeper.go
+++ b/internal/relay/mtfront/keeper.go
@@ -10,7 +10,7 @@
 	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 )
 
-// keeper is a process that keeps the holders of some parts, or the origins of some streams: a
+// keeper is a process that stores the holders of some parts, or the origins of some streams: a
 // sidecar, or an entry.
 type keeper interface {
 	// name is where it takes datagrams.
--- a/internal/relay/mtfront/lookup.go
+++ b/internal/relay/mtfront/lookup.go
@@ -15,14 +15,13 @@
 )
 
 const (
-	// lookupTime bounds the search for a stream's origin: the way to another region and back,
-	// some times.
-	lookupTime = 250 * time.Millisecond
-	// lookupAgain is when those that have not answered are asked again, and then each time.
-	lookupAgain = 60 * time.Millisecond
+	// lookupTimeout bounds the lookup of a stream's origin: several round trips to another region.
+	lookupTimeout = 250 * time.Millisecond
+	// lookupRetry is the interval at which replicas that have not answered are asked again.
+	lookupRetry = 60 * time.Millisecond
 )
 
-// lookups are the searches that wait for answers. The zero value is ready for use.
+// lookups are the searches in progress. The zero value is ready for use.
 type lookups struct {
 	mu   sync.Mutex
 	last uint64
@@ -46,7 +45,7 @@
 	delete(l.open, number)
 }
 
-// take takes in an answer; one for which nobody waits any more is not heard.
+// take delivers an answer to its search; one that comes after the search is dropped.
 func (l *lookups) take(from string, found *fleetv1.Found) {
 	l.mu.Lock()
 	search := l.open[found.GetAsk()]
@@ -56,7 +55,7 @@
 	}
 }
 
-// How a stream's origin was found, or why the stream can't go on.
+// How a stream's origin was resolved, or why the stream can't be resumed.
 const (
 	originOwn      = "own"
 	originFound    = "found"
@@ -66,20 +65,20 @@
 	originMoved    = "moved"
 )
 
-// takesUp says that the caller has events of a stream that it wants to go on.
-func (r *request) takesUp() bool {
+// resumes reports whether the caller asks for the rest of a stream.
+func (r *request) resumes() bool {
 	return r.route.GetRepeat() == fleetv1.Repeat_REPEAT_STREAM && (r.ask.GetResume() != "" || r.ask.GetBegun() != "")
 }
 
-// locate finds out what began a stream that the caller takes up, and refuses the request where
-// that is not known: any other build would write what does not fit.
-func (r *request) locate(ctx context.Context) bool {
-	if !r.takesUp() {
+// resolveOrigin finds the origin of a stream that the caller resumes, and refuses the request
+// where there is none: output of another build would not fit.
+func (r *request) resolveOrigin(ctx context.Context) bool {
+	if !r.resumes() {
 		return true
 	}
-	origin, how, from := r.search(ctx)
+	origin, how, from := r.findOrigin(ctx)
 	if how == originOwn || how == originFound {
-		how = r.lead(origin, how)
+		how = r.routeToOrigin(origin, how)
 	}
 	r.front.trail.Metrics().Add(`streams_taken_up_total{origin="`+how+`"}`, 1)
 	fields := []zap.Field{zap.String("begun", r.ask.GetBegun()), zap.String("after", r.ask.GetResume()),
@@ -93,16 +92,16 @@
 	return true
 }
 
-// unservable tells callers why their streams can't go on.
+// unservable explains to callers why their streams can't be resumed.
 var unservable = map[string]string{
 	originUnknown:  "it is not known which software version began the stream; begin it anew",
 	originDisputed: "several software versions are said to have begun the stream; begin it anew",
 	originMoved:    "the route no longer leads to the service that began the stream; begin it anew",
 }
 
-// lead sends the request to the service that began the stream, where its route leads there. It
-// returns how the origin was found, or why the stream can't go on.
-func (r *request) lead(origin *fleetv1.Origin, how string) string {
+// routeToOrigin selects the service that began the stream, where the request's route still has
+// it. It returns how the origin was found, or why the stream can't be resumed.
+func (r *request) routeToOrigin(origin *fleetv1.Origin, how string) string {
 	if origin.GetDisputed() {
 		return originDisputed
 	}
@@ -115,15 +114,15 @@
 	return originMoved
 }
 
-// search looks for the origin here and at those that keep it. Where nobody knows it, it can only
-// be the one build that the service has had for as long as streams last.
-func (r *request) search(ctx context.Context) (origin *fleetv1.Origin, how, from string) {
+// findOrigin looks the origin up locally and then at its replicas. Where none has it, it is taken
+// to be the only build that the service has run for as long as streams last.
+func (r *request) findOrigin(ctx context.Context) (origin *fleetv1.Origin, how, from string) {
 	var search *mtsearch.Search
 	if first := r.ask.GetBegun(); first != "" {
 		if own := r.front.origins.Find(r.named(first)); own != nil {
 			return own, originOwn, r.front.socket.Address()
 		}
-		search = r.askKeepers(ctx, r.named(first))
+		search = r.lookUpOrigin(ctx, r.named(first))
 		if origin, from := search.Origin(); origin != nil {
 			return origin, originFound, from
 		}
@@ -134,8 +133,8 @@
 	return nil, originUnknown, ""
 }
 
-// onlyBuild is the one build that can have begun the stream, after a search in vain; "" where
-// there may be several. An entry that hears nobody may have missed another.
+// onlyBuild is the one build that can have begun the stream after a lookup that found nothing; ""
+// where there may be several. An isolated entry may have missed another.
 func (r *request) onlyBuild(search *mtsearch.Search) string {
 	for _, share := range r.route.GetShares() {
 		if share.GetService() != r.service.GetName() && share.GetWeight() > 0 {
@@ -143,7 +142,7 @@
 		}
 	}
 	switch {
-	case search == nil || search.Heard() == 0:
+	case search == nil || search.Responses() == 0:
 		if r.front.away.Load() > 0 {
 			return ""
 		}
@@ -157,12 +156,12 @@
 	return build
 }
 
-// askKeepers asks those that may keep a stream's origin, until one knows it.
-func (r *request) askKeepers(ctx context.Context, stream []byte) *mtsearch.Search {
+// lookUpOrigin queries the replicas that may store a stream's origin until one returns it.
+func (r *request) lookUpOrigin(ctx context.Context, stream []byte) *mtsearch.Search {
 	f := r.front
 	asked := map[string]keeper{}
 	for _, list := range [][]keeper{
-		f.originSidecars(stream, originCopies, true), f.originSidecars(stream, originAsked, false), f.originEntries(stream, originAsked),
+		f.originSidecars(stream, originReplicas, true), f.originSidecars(stream, originsQueried, false), f.originEntries(stream, originsQueried),
 	} {
 		for _, k := range list {
 			asked[k.name()] = k
@@ -172,16 +171,16 @@
 	number := f.lookups.begin(search)
 	defer f.lookups.end(number)
 	lookup := &fleetv1.Lookup{Ask: number, Stream: stream, Service: r.service.GetName(), Span: uint32(r.span().Milliseconds())}
-	ctx, cancel := context.WithTimeout(ctx, lookupTime)
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		for _, name := range search.Silent() {
+		for _, name := range search.Pending() {
 			asked[name].send(f, lookup)
 		}
 		select {
 		case <-search.Done():
 			return search
-		case <-time.After(lookupAgain):
+		case <-time.After(lookupRetry):
 		case <-ctx.Done():
 		}
 	}
--- a/internal/relay/mtfront/origin.go
+++ b/internal/relay/mtfront/origin.go
@@ -16,21 +16,21 @@
 )
 
 const (
-	// originCopies is how many sidecars, and how many other entries, keep a stream's origin:
-	// one may restart or lose the datagram.
-	originCopies = 2
-	// originAsked is how many of each are asked: entries differ in whom they know to live.
-	originAsked = 2 * originCopies
-	// originTime is how often the origins of streams that still run are told anew, while
-	// a service's targets have several builds.
-	originTime = 500 * time.Millisecond
-	// originBatch bounds the origins of one datagram, at some fifty bytes each.
+	// originReplicas is how many sidecars, and how many other entries, store a stream's origin:
+	// one may restart or miss the datagram.
+	originReplicas = 2
+	// originsQueried is how many of each a lookup asks: entries differ in which they believe alive.
+	originsQueried = 2 * originReplicas
+	// republishInterval is how often the origins of open streams are sent again while a
+	// service's targets run several builds.
+	republishInterval = 500 * time.Millisecond
+	// originBatch bounds the origins in one datagram, at some fifty bytes each.
 	originBatch = 20
-	// returnTime is how long after the end of its time a caller may come back.
-	returnTime = 5 * time.Second
+	// returnWindow is how long after its deadline a caller may still resume a stream.
+	returnWindow = 5 * time.Second
 )
 
-// streams are the requests whose streams run here. The zero value is ready for use.
+// streams are the requests whose streams this entry passes on. The zero value is ready for use.
 type streams struct {
 	mu   sync.Mutex
 	open map[*request]bool
@@ -57,55 +57,58 @@
 	return slices.Collect(maps.Keys(s.open))
 }
 
-// keep tells others what began the stream whose first event the caller is about to get. Where
-// the caller has taken it up, it may name either request when it comes again.
-func (r *request) keep(build string) {
+// publishOrigin replicates the origin of the stream whose first event the caller is about to get.
+// A caller that has resumed the stream may name either request when it resumes it again.
+func (r *request) publishOrigin(build string) {
 	origin := &fleetv1.Origin{Stream: r.named(r.ask.GetId()), Service: r.service.GetName(), Build: build}
-	r.kept = []*fleetv1.Origin{origin}
+	r.origins = []*fleetv1.Origin{origin}
 	if first := r.ask.GetBegun(); r.origin != nil && first != "" {
-		r.kept = append(r.kept, &fleetv1.Origin{Stream: r.named(first), Service: origin.GetService(), Build: build})
+		r.origins = append(r.origins, &fleetv1.Origin{Stream: r.named(first), Service: origin.GetService(), Build: build})
 	}
-	r.keptUntil = r.until
-	if wait := r.ask.GetWait(); wait != nil && r.begun.Add(wait.AsDuration()).After(r.keptUntil) {
-		r.keptUntil = r.begun.Add(wait.AsDuration())
+	r.originsUntil = r.until
+	if wait := r.ask.GetWait(); wait != nil && r.begun.Add(wait.AsDuration()).After(r.originsUntil) {
+		r.originsUntil = r.begun.Add(wait.AsDuration())
 	}
-	r.keptUntil = r.keptUntil.Add(returnTime)
-	for _, origin := range r.lasting() {
-		r.front.hearOrigin(origin)
+	r.originsUntil = r.originsUntil.Add(returnWindow)
+	for _, origin := range r.unexpiredOrigins() {
+		r.front.storeOrigin(origin)
 	}
 	r.front.streams.begin(r)
-	r.front.tell([]*request{r}, r.front.mixed(r))
+	r.front.replicateOrigins([]*request{r}, r.front.mixed(r))
 }
 
 // named is the digest of the stream that a request of the same account began.
 func (r *request) named(id string) []byte { return mtorigin.Stream(r.account.GetName(), id) }
 
-// lasting are the origins to keep, with the time that is left.
-func (r *request) lasting() []*fleetv1.Origin {
-	left := time.Until(r.keptUntil).Milliseconds()
+// unexpiredOrigins are the origins to replicate, with their remaining lifetime.
+func (r *request) unexpiredOrigins() []*fleetv1.Origin {
+	left := time.Until(r.originsUntil).Milliseconds()
 	if left <= 0 {
 		return nil
 	}
-	list := make([]*fleetv1.Origin, 0, len(r.kept))
-	for _, origin := range r.kept {
+	list := make([]*fleetv1.Origin, 0, len(r.origins))
+	for _, origin := range r.origins {
 		list = append(list, &fleetv1.Origin{Stream: origin.GetStream(), Service: origin.GetService(), Build: origin.GetBuild(), Left: uint32(left)})
 	}
 	return list
 }
 
-// span is for how long a stream may last over its caller's tries.
+// span is the longest time between the start of a stream and the end of its caller's last attempt.
 func (r *request) span() time.Duration {
 	const tries = 2
-	return tries*r.route.GetTimeout().AsDuration() + returnTime
+	return tries*r.route.GetTimeout().AsDuration() + returnWindow
 }
 
-// tellOrigins tells the origins of the streams that run here anew while there are several builds:
-// who keeps them may have restarted, or have lost the datagram.
-func (f *Front) tellOrigins(ctx context.Context) error {
-	for ctx.Err() == nil {
+// republishOrigins sends the origins of open streams again while their services run several
+// builds: a replica may have restarted, or have missed the datagram.
+func (f *Front) republishOrigins(ctx context.Context) error {
+	ticks := time.NewTicker(republishInterval)
+	defer ticks.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-		case <-time.After(originTime):
+			return ctx.Err()
+		case <-ticks.C:
 		}
 		var mixed []*request
 		for _, r := range f.streams.list() {
@@ -113,31 +116,30 @@
 				mixed = append(mixed, r)
 			}
 		}
-		f.tell(mixed, true)
+		f.replicateOrigins(mixed, true)
 	}
-	return ctx.Err()
 }
 
-// mixed says that another build than the stream's may serve it.
+// mixed reports whether targets of another build may be able to continue the stream.
 func (f *Front) mixed(r *request) bool {
 	_, only := f.builds.Only(r.service.GetName(), r.span())
 	return !only
 }
 
-// tell tells the processes that keep them what began some streams: sidecars, which few faults
-// stop together with entries, and entries too where another build could go on with the streams.
-func (f *Front) tell(list []*request, mixed bool) {
+// replicateOrigins sends the origins of streams to their replicas: sidecars, which rarely fail
+// together with entries, and also entries where another build could continue the streams.
+func (f *Front) replicateOrigins(list []*request, mixed bool) {
 	batches := map[keeper][]*fleetv1.Origin{}
 	for _, r := range list {
-		for _, origin := range r.lasting() {
-			sidecars := f.originSidecars(origin.GetStream(), originCopies, true)
+		for _, origin := range r.unexpiredOrigins() {
+			sidecars := f.originSidecars(origin.GetStream(), originReplicas, true)
 			for _, k := range sidecars {
 				batches[k] = append(batches[k], origin)
 			}
-			if !mixed && len(sidecars) == originCopies {
+			if !mixed && len(sidecars) == originReplicas {
 				continue
 			}
-			for _, k := range f.originEntries(origin.GetStream(), originCopies) {
+			for _, k := range f.originEntries(origin.GetStream(), originReplicas) {
 				batches[k] = append(batches[k], origin)
 			}
 		}
@@ -149,16 +151,16 @@
 	}
 }
 
-// originSidecars are the sidecars that keep a stream's origin.
+// originSidecars are the sidecars that store a stream's origin.
 func (f *Front) originSidecars(stream []byte, most int, live bool) []keeper {
 	var list []keeper
-	for _, address := range f.board.Attendants(stream, most, live, time.Duration(f.round.Load())) {
+	for _, address := range f.board.SidecarsOf(stream, most, live, time.Duration(f.round.Load())) {
 		list = append(list, sidecarKeeper{words: mtports.SidecarWords.At(f.site, address)})
 	}
 	return list
 }
 
-// originEntries are the other entries that do.
+// originEntries are the other entries that store it.
 func (f *Front) originEntries(stream []byte, most int) []keeper {
 	type ranked struct {
 		address string
@@ -177,20 +179,20 @@
 	return list
 }
 
-// hearOrigins takes in what began others' streams.
-func (f *Front) hearOrigins(origins *fleetv1.Origins) {
+// receiveOrigins stores origins that another entry replicates.
+func (f *Front) receiveOrigins(origins *fleetv1.Origins) {
 	for _, origin := range origins.GetOrigins() {
-		f.hearOrigin(origin)
+		f.storeOrigin(origin)
 	}
 }
 
-func (f *Front) hearOrigin(origin *fleetv1.Origin) {
+func (f *Front) storeOrigin(origin *fleetv1.Origin) {
 	if !f.origins.Take(origin) {
 		f.trail.Metrics().Add("origins_dropped_total", 1)
 	}
 }
 
-// answerLookup says what this entry knows of a stream.
+// answerLookup replies with what this entry stores of a stream.
 func (f *Front) answerLookup(from string, lookup *fleetv1.Lookup) {
 	found := &fleetv1.Found{
 		Ask: lookup.GetAsk(), Origin: f.origins.Find(lookup.GetStream()),
--- a/internal/relay/mtfront/refuse.go
+++ b/internal/relay/mtfront/refuse.go
@@ -76,7 +76,7 @@
 // shows that it is not whole.
 func (r *request) breakOff(why string) {
 	fields := append(r.fields(), zap.String("why", "not resumed: "+why), zap.String("lacks", r.front.board.Lacks(r.query)))
-	r.front.trail.Warn(mtkind.RequestFailed, append(fields, r.tookUp()...)...)
+	r.front.trail.Warn(mtkind.RequestFailed, append(fields, r.resumeFields()...)...)
 	r.abort()
 }
 
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -226,7 +226,7 @@
 
 // logSent names the target and why it was chosen.
 func (r *request) logSent(choice *mtboard.Choice, link *mtlink.Link) {
-	fields := append(r.fields(), r.tookUp()...)
+	fields := append(r.fields(), r.resumeFields()...)
 	if limit, limited := r.front.limits.Rate(choice.Target()); limited {
 		fields = append(fields, zap.Float64("limit", limit))
 	}
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -74,13 +74,13 @@
 	// delivered is what the caller has of a stream that another target goes on
 	// with.
 	delivered *mtresume.Resume
-	// origin is what began a stream that the caller takes up; opened says that the caller has
+	// origin is that of a stream that the caller resumes; opened is set once the caller has
 	// events of this answer.
 	origin *fleetv1.Origin
 	opened bool
-	// kept are the origins that other processes are to keep, until when.
-	kept      []*fleetv1.Origin
-	keptUntil time.Time
+	// origins are replicated, and expire at originsUntil.
+	origins      []*fleetv1.Origin
+	originsUntil time.Time
 }
 
 // ServeHTTP takes a caller's request.
@@ -226,7 +226,7 @@
 // serve sends the request to one target after another until an answer is
 // delivered or nothing more may be tried.
 func (r *request) serve(ctx context.Context) {
-	if !r.locate(ctx) {
+	if !r.resolveOrigin(ctx) {
 		return
 	}
 	defer r.front.streams.end(r)
@@ -282,8 +282,9 @@
 	r.query.Exclude(choice.Target())
 }
 
-// judge decides whether the request is sent away for now. What has run in part is
-// not, here or at an earlier try of the caller, nor anything while the engines' speed is a guess: an idle one would refuse.
+// judge decides whether the request is sent away for now. What has run in part, here or at an
+// earlier attempt of the caller, is not, nor anything while the engines' speed is a guess: an
+// idle one would refuse.
 func (r *request) judge(choice *mtboard.Choice) mtshed.Verdict {
 	if r.delivered != nil || r.origin != nil || r.tries > 0 || !choice.Known() || r.front.without.shedding {
 		return mtshed.Verdict{}
@@ -341,7 +342,7 @@
 
 func (r *request) log(choice *mtboard.Choice, last result) {
 	fields := append(r.fields(), zap.String("target", choice.Target()), zap.String("build", choice.Build()), zap.Int("try", r.tries))
-	fields = append(fields, r.tookUp()...)
+	fields = append(fields, r.resumeFields()...)
 	switch l := last.(type) {
 	case rejected:
 		kind := mtkind.SendRejected
@@ -358,9 +359,9 @@
 	}
 }
 
-// tookUp says, of a request that takes a stream up, which request began the stream, and of a
-// stream that goes on elsewhere too, which event the caller has last.
-func (r *request) tookUp() []zap.Field {
+// resumeFields name, for a stream that is resumed by its caller or within this answer, the request
+// that began it and the last event that the caller has.
+func (r *request) resumeFields() []zap.Field {
 	last := r.ask.GetResume()
 	if r.delivered != nil {
 		last = r.delivered.Last()
--- a/internal/relay/mtfront/stream.go
+++ b/internal/relay/mtfront/stream.go
@@ -23,7 +23,7 @@
 		}
 		r.out.WriteHeader(response.StatusCode)
 	}
-	count, err := r.copyEvents(response.Body, func() { r.open(choice, answer) })
+	count, err := r.copyEvents(response.Body, func() { r.pinBuild(choice, answer) })
 	var gone *callerError
 	switch {
 	case errors.As(err, &gone):
@@ -57,9 +57,9 @@
 // callerError is a failure to write to the caller.
 type callerError struct{ error }
 
-// open notes which target's events the caller is about to get first: whoever goes on with the
-// stream must run the same software.
-func (r *request) open(choice *mtboard.Choice, answer *fleetv1.Answer) {
+// pinBuild restricts the request to the software version of the target whose events the caller is
+// about to get first.
+func (r *request) pinBuild(choice *mtboard.Choice, answer *fleetv1.Answer) {
 	if r.opened {
 		return
 	}
@@ -70,7 +70,7 @@
 	}
 	r.query.Pin(build)
 	if r.route.GetResumable() {
-		r.keep(build)
+		r.publishOrigin(build)
 	}
 }
 
--- a/internal/request/mtorigin/origin.go
+++ b/internal/request/mtorigin/origin.go
@@ -1,9 +1,8 @@
-// Package mtorigin keeps which service and software version began streams.
+// Package mtorigin stores which service and software version began each stream.
 //
-// A caller whose stream broke off takes it up at any entry, and only a program of the version
-// that began the stream may go on with it. The entry that began it may be gone by then, so that
-// several processes keep each stream's origin for as long as its caller may come back. What is
-// told differently of one stream is disputed for good: no program is known to fit.
+// A caller may resume a broken stream at any entry, but only a target of the version that began it
+// can continue it. As the first entry may be gone by then, several processes store each stream's
+// origin until its caller's time is over. An origin reported in two versions stays disputed.
 package mtorigin
 
 import (
@@ -15,32 +14,32 @@
 )
 
 const (
-	// most bounds the streams that are kept: a few megabytes.
-	most = 20_000
-	// longest bounds how long one is kept, whatever is told.
-	longest = 10 * time.Minute
-	// sweepTime is how often lapsed ones are looked for while there is no room.
-	sweepTime = time.Second
+	// capacity is the number of streams stored: a few megabytes.
+	capacity = 20_000
+	// maxLifetime bounds how long an origin is stored.
+	maxLifetime = 10 * time.Minute
+	// sweepInterval is the least time between two removals of expired origins.
+	sweepInterval = time.Second
 	// streamSize is the length of a stream's digest.
 	streamSize = 16
 )
 
-// Origins is what one process keeps. It is safe for concurrent use.
+// Origins is one process's store. It is safe for concurrent use.
 type Origins struct {
-	mu    sync.Mutex
-	kept  map[string]kept
-	swept time.Time
+	mu      sync.Mutex
+	entries map[string]entry
+	swept   time.Time
 }
 
-type kept struct {
+type entry struct {
 	service  string
 	build    string
 	disputed bool
 	until    time.Time
 }
 
-// New keeps nothing yet.
-func New() *Origins { return &Origins{kept: map[string]kept{}} }
+// New returns an empty store.
+func New() *Origins { return &Origins{entries: map[string]entry{}} }
 
 // Stream is the digest of a stream, by the client account and the id of the request that brought
 // its first event. Callers choose ids: no account can name the stream of another.
@@ -49,18 +48,18 @@
 	return sum[:streamSize]
 }
 
-// Take keeps an origin. It reports false where there is no room.
+// Take stores an origin. It reports false where the store is full.
 func (o *Origins) Take(origin *fleetv1.Origin) bool {
-	left := min(longest, time.Duration(origin.GetLeft())*time.Millisecond)
+	left := min(maxLifetime, time.Duration(origin.GetLeft())*time.Millisecond)
 	if len(origin.GetStream()) != streamSize || left <= 0 {
 		return true
 	}
 	now := time.Now()
-	next := kept{origin.GetService(), origin.GetBuild(), origin.GetDisputed(), now.Add(left)}
+	next := entry{origin.GetService(), origin.GetBuild(), origin.GetDisputed(), now.Add(left)}
 	stream := string(origin.GetStream())
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if before, ok := o.kept[stream]; ok && before.until.After(now) {
+	if before, ok := o.entries[stream]; ok && before.until.After(now) {
 		if before.service != next.service || before.build != next.build {
 			next.disputed = true
 		}
@@ -68,42 +67,42 @@
 		if before.until.After(next.until) {
 			next.until = before.until
 		}
-	} else if len(o.kept) >= most && !o.sweep(now) {
+	} else if len(o.entries) >= capacity && !o.sweep(now) {
 		return false
 	}
-	o.kept[stream] = next
+	o.entries[stream] = next
 	return true
 }
 
-// sweep forgets the lapsed ones, and reports whether there is room.
+// sweep removes expired origins, and reports whether there is room.
 func (o *Origins) sweep(now time.Time) bool {
-	if now.Sub(o.swept) < sweepTime {
+	if now.Sub(o.swept) < sweepInterval {
 		return false
 	}
 	o.swept = now
-	for stream, k := range o.kept {
-		if !k.until.After(now) {
-			delete(o.kept, stream)
+	for stream, e := range o.entries {
+		if !e.until.After(now) {
+			delete(o.entries, stream)
 		}
 	}
-	return len(o.kept) < most
+	return len(o.entries) < capacity
 }
 
-// Find returns what is kept of a stream; nil for nothing.
+// Find returns the origin of a stream; nil where it is unknown or expired.
 func (o *Origins) Find(stream []byte) *fleetv1.Origin {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	k, ok := o.kept[string(stream)]
-	left := time.Until(k.until).Milliseconds()
+	e, ok := o.entries[string(stream)]
+	left := time.Until(e.until).Milliseconds()
 	if !ok || left <= 0 {
 		return nil
 	}
-	return &fleetv1.Origin{Stream: stream, Service: k.service, Build: k.build, Disputed: k.disputed, Left: uint32(left)}
+	return &fleetv1.Origin{Stream: stream, Service: e.service, Build: e.build, Disputed: e.disputed, Left: uint32(left)}
 }
 
-// Len is the number of streams that are kept, lapsed ones too.
+// Len is the number of origins stored, expired ones included.
 func (o *Origins) Len() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.kept)
+	return len(o.entries)
 }
--- a/internal/request/mtsearch/search.go
+++ b/internal/request/mtsearch/search.go
@@ -1,4 +1,4 @@
-// Package mtsearch asks several processes for a stream's origin until one of them knows it.
+// Package mtsearch collects the answers to a lookup of a stream's origin.
 package mtsearch
 
 import (
@@ -8,45 +8,45 @@
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 )
 
-// Search is one question. It is safe for concurrent use.
+// Search is one lookup. It is safe for concurrent use.
 type Search struct {
-	mu     sync.Mutex
-	silent []string
-	heard  int
-	mixed  bool
-	origin *fleetv1.Origin
-	from   string
-	done   chan struct{}
-	ended  bool
+	mu        sync.Mutex
+	pending   []string
+	responses int
+	mixed     bool
+	origin    *fleetv1.Origin
+	from      string
+	done      chan struct{}
+	ended     bool
 }
 
-// New returns a question to some processes, which has ended where there are none.
-func New(asked []string) *Search {
-	s := &Search{silent: slices.Clone(asked), done: make(chan struct{})}
-	s.settle()
+// New returns a lookup at some replicas, which is done at once where there are none.
+func New(replicas []string) *Search {
+	s := &Search{pending: slices.Clone(replicas), done: make(chan struct{})}
+	s.finish()
 	return s
 }
 
-// Take takes in a process's answer. One that was not asked, or has answered, is not heard.
+// Take adds a replica's answer. Answers of others, and repeated ones, are ignored.
 func (s *Search) Take(from string, found *fleetv1.Found) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := slices.Index(s.silent, from)
+	at := slices.Index(s.pending, from)
 	if at < 0 || s.ended {
 		return
 	}
-	s.silent = slices.Delete(s.silent, at, at+1)
-	s.heard++
+	s.pending = slices.Delete(s.pending, at, at+1)
+	s.responses++
 	s.mixed = s.mixed || found.GetMixed()
 	if found.GetOrigin() != nil {
 		s.origin, s.from = found.GetOrigin(), from
 	}
-	s.settle()
+	s.finish()
 }
 
-// settle ends the search where an origin was found or nobody is silent.
-func (s *Search) settle() {
-	if !s.ended && (s.origin != nil || len(s.silent) == 0) {
+// finish ends the search once an origin was found or all replicas have answered.
+func (s *Search) finish() {
+	if !s.ended && (s.origin != nil || len(s.pending) == 0) {
 		s.ended = true
 		close(s.done)
 	}
@@ -55,28 +55,28 @@
 // Done is closed once an origin was found or all have answered.
 func (s *Search) Done() <-chan struct{} { return s.done }
 
-// Silent lists those that have not answered.
-func (s *Search) Silent() []string {
+// Pending lists the replicas that have not answered.
+func (s *Search) Pending() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.silent)
+	return slices.Clone(s.pending)
 }
 
-// Origin is what was found, and by whom; nil for nothing.
+// Origin is the origin found and the replica that returned it; nil for none.
 func (s *Search) Origin() (origin *fleetv1.Origin, from string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.origin, s.from
 }
 
-// Heard is how many have answered.
-func (s *Search) Heard() int {
+// Responses is the number of replicas that have answered.
+func (s *Search) Responses() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.heard
+	return s.responses
 }
 
-// Mixed says that one of them knows of more than one build that may have begun the stream.
+// Mixed reports whether a replica knows of several builds that may have begun the stream.
 func (s *Search) Mixed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/request/mtsearch/search_test.go
+++ b/internal/request/mtsearch/search_test.go
@@ -30,7 +30,7 @@
 	origin, from := s.Origin()
 	g.Expect(origin.GetBuild()).To(Equal("v1"))
 	g.Expect(from).To(Equal("b"))
-	g.Expect(s.Silent()).To(ConsistOf("c"))
+	g.Expect(s.Pending()).To(ConsistOf("c"))
 }
 
 // Failure: an answer that comes twice, or from a process that was not asked, stands for one that
@@ -42,7 +42,7 @@
 		s.Take(from, &fleetv1.Found{Mixed: from == "d"})
 	}
 	g.Expect(ended(s)).To(BeFalse())
-	g.Expect(s.Heard()).To(Equal(1))
+	g.Expect(s.Responses()).To(Equal(1))
 	g.Expect(s.Mixed()).To(BeFalse())
 	s.Take("b", &fleetv1.Found{Mixed: true})
 	g.Expect(ended(s)).To(BeTrue())
