--- a/internal/members/mtbuilds/builds_test.go
+++ b/internal/members/mtbuilds/builds_test.go
@@ -1,6 +1,7 @@
 package mtbuilds_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,17 @@
 	return targets
 }
 
+func ExampleBuilds() {
+	builds := mtbuilds.New()
+	builds.See(list("v1", "v2"), true)
+	fmt.Println(builds.Several("pool", within))
+	_, only := builds.Only("pool", within)
+	fmt.Println(only)
+	// Output:
+	// true
+	// false
+}
+
 // Failure: a process that has just started, or has seen a part of the list, takes the one build
 // that it sees for the only one that there has been.
 func TestOnlyBuildNeedsTimeToBeKnown(t *testing.T) {
--- a/internal/request/mtorigin/origin_test.go
+++ b/internal/request/mtorigin/origin_test.go
@@ -16,8 +16,22 @@
 	return &fleetv1.Origin{Stream: mtorigin.Stream("school", id), Service: "pool", Build: build, Left: left}
 }
 
-// An origin is kept for as long as it was told, and longer where it is told again.
-func TestOriginsLapse(t *testing.T) {
+func ExampleOrigins() {
+	origins := mtorigin.New()
+	stream := mtorigin.Stream("school", "attempt-1")
+	origins.Take(&fleetv1.Origin{Stream: stream, Service: "pool", Build: "v1.1", Left: 5000})
+	fmt.Println(origins.Find(stream).GetBuild())
+	origins.Take(&fleetv1.Origin{Stream: stream, Service: "pool", Build: "v1.2", Left: 5000})
+	fmt.Println(origins.Find(stream).GetDisputed())
+	fmt.Println(origins.Find(mtorigin.Stream("town", "attempt-1")) == nil)
+	// Output:
+	// v1.1
+	// true
+	// true
+}
+
+// An origin expires after its lifetime, which a repeated report extends.
+func TestOriginsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		o := mtorigin.New()
@@ -36,7 +50,7 @@
 	})
 }
 
-// Failure: two builds are told of one stream, and the one that was told last wins.
+// Failure: two builds are reported for one stream, and the last report wins.
 func TestTwoOriginsOfAStreamAreDisputed(t *testing.T) {
 	g := NewWithT(t)
 	o := mtorigin.New()
@@ -48,7 +62,7 @@
 	g.Expect(o.Find(mtorigin.Stream("schoola", ""))).To(BeNil())
 }
 
-// Failure: streams without end fill the memory, or keep new ones out after they have lapsed.
+// Failure: origins fill the memory, or keep new ones out after they have expired.
 func TestOriginsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -61,15 +75,15 @@
 		}
 		g.Expect(o.Len()).To(Equal(20_000))
 		g.Expect(refused).To(Equal(10_000))
-		g.Expect(o.Take(origin("0", "v1", 1000))).To(BeTrue(), "it is kept already")
+		g.Expect(o.Take(origin("0", "v1", 1000))).To(BeTrue(), "it is stored already")
 		time.Sleep(1100 * time.Millisecond)
 		g.Expect(o.Take(origin("new", "v1", 1000))).To(BeTrue())
 		g.Expect(o.Len()).To(Equal(1))
 	})
 }
 
-// Failure: another writer's datagram, or one of a newer process, is kept under a torn name.
-func TestTornOriginsAreLeftOut(t *testing.T) {
+// Failure: a malformed origin is stored under a digest that no stream has.
+func TestMalformedOriginsAreIgnored(t *testing.T) {
 	g := NewWithT(t)
 	o := mtorigin.New()
 	o.Take(&fleetv1.Origin{Stream: []byte("short"), Build: "v1", Left: 1000})
--- a/internal/request/mtsearch/search_test.go
+++ b/internal/request/mtsearch/search_test.go
@@ -1,6 +1,7 @@
 package mtsearch_test
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -18,8 +19,17 @@
 	}
 }
 
-// A search ends with the first process that knows, however many are silent.
-func TestFirstThatKnowsEndsTheSearch(t *testing.T) {
+func ExampleSearch() {
+	search := mtsearch.New([]string{"10.0.0.1:7350", "10.0.0.2:7350"})
+	search.Take("10.0.0.2:7350", &fleetv1.Found{Origin: &fleetv1.Origin{Build: "v1"}})
+	<-search.Done()
+	origin, replica := search.Origin()
+	fmt.Println(origin.GetBuild(), replica, search.Pending())
+	// Output: v1 10.0.0.2:7350 [10.0.0.1:7350]
+}
+
+// A search is done with the first replica that has the origin, however many are pending.
+func TestFirstHitEndsTheSearch(t *testing.T) {
 	g := NewWithT(t)
 	s := mtsearch.New([]string{"a", "b", "c"})
 	s.Take("a", &fleetv1.Found{})
@@ -33,9 +43,9 @@
 	g.Expect(s.Pending()).To(ConsistOf("c"))
 }
 
-// Failure: an answer that comes twice, or from a process that was not asked, stands for one that
-// is silent.
-func TestEachProcessIsHeardOnce(t *testing.T) {
+// Failure: an answer that comes twice, or from a process that was not asked, counts for a replica
+// that is pending.
+func TestEachReplicaCountsOnce(t *testing.T) {
 	g := NewWithT(t)
 	s := mtsearch.New([]string{"a", "b"})
 	for _, from := range []string{"a", "a", "d"} {
