Rank the entries that store a stream's origin by the ranking that assigns tasks

originEntries wrote rendezvous hashing again: mtassign has it, with the same hash. It names the members that lead for a task now (Leading), which agree with those that each member finds by itself (TestLeadersAreThoseThatTakeTheTask, 2 to 356 members). The entries chosen are the same as before.

--- a/internal/members/mtassign/assign.go
+++ b/internal/members/mtassign/assign.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/zeebo/xxh3"
@@ -55,3 +56,13 @@
 	slices.SortStableFunc(mine, func(x, y string) int { return cmp.Compare(ranks[x], ranks[y]) })
 	return mine
 }
+
+// Leading lists the members that come first for a task, at most so many: those whose First has it.
+func Leading(task string, members []string, most int) []string {
+	scores := make(map[string]uint64, len(members))
+	for _, member := range members {
+		scores[member] = xxh3.HashStringSeed(task, xxh3.HashString(member))
+	}
+	list := slices.SortedFunc(maps.Keys(scores), func(x, y string) int { return cmp.Compare(scores[y], scores[x]) })
+	return list[:min(most, len(list))]
+}
--- a/internal/members/mtassign/assign_test.go
+++ b/internal/members/mtassign/assign_test.go
@@ -20,6 +20,25 @@
 	// Output: 8
 }
 
+// Failure: who ranks the members for a task, and each member that ranks itself, come to different
+// leaders.
+func TestLeadersAreThoseThatTakeTheTask(t *testing.T) {
+	g := NewWithT(t)
+	for _, size := range []int{2, 4, 30, 356} {
+		members := newFleet(size, 1).names
+		for i := range 50 {
+			task := fmt.Sprint("task-", i)
+			var first []string
+			for _, member := range members {
+				if len(mtassign.New(member, members).First([]string{task}, copies)) > 0 {
+					first = append(first, member)
+				}
+			}
+			g.Expect(mtassign.Leading(task, members, copies)).To(ConsistOf(first))
+		}
+	}
+}
+
 const copies = 3
 
 // fleet is members that see each other more or less.
--- a/internal/relay/mtfront/origin.go
+++ b/internal/relay/mtfront/origin.go
@@ -1,16 +1,14 @@
 package mtfront
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/members/mtassign"
 	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 	"github.com/mustardtide/mustardtide/internal/request/mtorigin"
 )
@@ -162,19 +160,9 @@
 
 // originEntries are the other entries that store it.
 func (f *Front) originEntries(stream []byte, most int) []keeper {
-	type ranked struct {
-		address string
-		score   uint64
-	}
-	peers := f.peers.list()
-	ranks := make([]ranked, 0, len(peers))
-	for _, address := range peers {
-		ranks = append(ranks, ranked{address, xxh3.HashSeed(stream, xxh3.HashString(address))})
-	}
-	slices.SortFunc(ranks, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
-	list := make([]keeper, 0, most)
-	for _, next := range ranks[:min(most, len(ranks))] {
-		list = append(list, entryKeeper{next.address})
+	var list []keeper
+	for _, address := range mtassign.Leading(string(stream), f.peers.list(), most) {
+		list = append(list, entryKeeper{address})
 	}
 	return list
 }
