Log the parts of a prompt whose run breaks off, and how often that is known

request-suspected is written once for each run that a target breaks off, so that its volume is that of send-lost. The gauge requests_suspected counts the requests with breaks. No decision changes.

--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -47,6 +47,7 @@
 	TargetUnlimited  Kind = 7057
 	SendWithheld     Kind = 7058
 	StreamTakenUp    Kind = 7059
+	RequestSuspected Kind = 7060
 )
 
 var fleetRows = map[Kind]row{
@@ -86,6 +87,7 @@
 	SwapRefused:      {"swap-refused", "the engine did not take the order"},
 	SwapUnanswered:   {"swap-unanswered", "the order got no answer: the engine's report will show what became of it"},
 	WeightsInPlace:   {"weights-in-place", "the engine serves the named weights"},
+	RequestSuspected: {"request-suspected", "a target broke off while it ran a request: the parts of its prompt, and how often requests like it are known to have broken targets"},
 	RequestDangerous: {"request-dangerous", "a request has crashed targets that ran it and is refused"},
 	SpeedLearned:     {"speed-learned", "what a service's engines need, as seen in their answers, has changed by a quarter or more"},
 	SpeedAdopted:     {"speed-adopted", "what another process has learned of a service's engines is taken over"},
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -266,6 +266,7 @@
 	set.Gauge("targets_known", func() int64 { return int64(len(f.roster.View().All())) })
 	set.Gauge("targets_complete_revision", func() int64 { return f.roster.View().Complete() })
 	set.Gauge("targets_limited", func() int64 { return int64(f.limits.Count()) })
+	set.Gauge("requests_suspected", func() int64 { return f.suspects.Len() })
 	set.Gauge("origins_kept", func() int64 { return int64(f.origins.Len()) })
 	set.Gauge("peers_live", func() int64 { return int64(len(f.peers.list())) })
 	set.Gauge("entries_counted", func() int64 { return int64(f.entries()) })
--- a/internal/relay/mtfront/suspect.go
+++ b/internal/relay/mtfront/suspect.go
@@ -6,9 +6,11 @@
 	"encoding/binary"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 )
 
@@ -59,6 +61,24 @@
 	r.front.fresh = append(r.front.fresh, breakage{suspect, time.Now()})
 	r.front.mu.Unlock()
 	r.front.alarm()
+	r.front.trail.Warn(mtkind.RequestSuspected, append(r.fields(), zap.String("target", suspect.GetSource()),
+		zap.Strings("parts", r.partNames()), zap.Duration("first", r.first), zap.Int("breaks", r.front.suspects.Crashes(suspect.GetDigest())))...)
+}
+
+const (
+	// loggedParts and loggedName bound what a caller's list of parts adds to a log line.
+	loggedParts = 16
+	loggedName  = 32
+)
+
+// partNames returns the ids of the prompt's first parts for the log.
+func (r *request) partNames() []string {
+	parts := r.ask.GetParts()
+	var names []string
+	for _, part := range parts[:min(len(parts), loggedParts)] {
+		names = append(names, part.GetId()[:min(len(part.GetId()), loggedName)])
+	}
+	return names
 }
 
 // recent lists the breaks of which other entries are still told.
--- a/internal/request/mtquarantine/table.go
+++ b/internal/request/mtquarantine/table.go
@@ -101,6 +101,22 @@
 	return m.banned
 }
 
+// Crashes returns the number of crashes that are known of a request.
+func (t *Table) Crashes(digest []byte) int {
+	if t.Empty() {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.find(digest); m != nil {
+		return len(m.crashes)
+	}
+	return 0
+}
+
+// Len returns the number of suspects and quarantined requests.
+func (t *Table) Len() int64 { return t.count.Load() }
+
 // Ban quarantines a request.
 func (t *Table) Ban(digest []byte) {
 	t.mu.Lock()
