Hold crashes against the parts of prompts, and refuse requests with a culprit

What callers saw: requests that share one part crashed engine after engine, 30 in a wave, with all that ran there; over a tenth of the requests of a kind failed for tens of seconds.

Cause: a break was held against the fingerprint of account, path and body. No two of the requests are alike, so each break was a first one. The class: evidence is kept under the identity of the whole, the cause is in a component that other wholes share.

A crash is a set of components, parts of prompts and whole requests, of all runs that had no answer yet, as several entries saw it (mtcrash). What was at three crashes in succession, unanswered since, is the culprit; more crashes are needed where others happened meanwhile or the component was answered within the hour. What can't be told from it is named with it, and only requests with all of them are refused. A crash with a culprit counts against no other component, a target that answers later has not crashed, and targets that fail together count once. An answer speaks for its parts (mtacquittal). Entries gossip crashes, acquittals and bans; the store keeps them over a restart of all (mtban, persistBans). A ban lapses after two hours and is renewed for twice the time by one crash. Requests are looked up again before each send. A ban that refuses a quarter of the requests is tried twice by one entry, as no answer could lift it otherwise.

The evidence per whole request in the entry, its gossip and its two tests are replaced: a whole request is one of the components; TestMergedBanKeepsItsAge and TestSampleIsBounded of mtban hold what those of mtquarantine held, and TestDigestFitsADatagram the same for crashes.

The model (rapid, 1,000 fleets drawn) and fleets of 1, 4, 30 and 356 entries with lost datagrams, restarts and the store away hold both rules.

--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -19,6 +19,7 @@
 	address string
 
 	build   string
+	born    int64
 	version int64
 	// behind is how long ago weights newer than the target's were published, 0 for the newest.
 	behind       time.Duration
@@ -83,12 +84,9 @@
 	return c.build
 }
 
-// Incarnation identifies the target together with the start time of its program, if known.
-func (c *Choice) Incarnation() string {
-	c.board.mu.Lock()
-	defer c.board.mu.Unlock()
-	return c.id + "/" + itoa(c.record.state.GetReport().GetBorn())
-}
+// Incarnation returns the target and the start of the program that was chosen, in Unix
+// milliseconds, 0 if unknown.
+func (c *Choice) Incarnation() (target string, born int64) { return c.id, c.born }
 
 // Address returns the target's IP:PORT.
 func (c *Choice) Address() string { return c.address }
@@ -172,7 +170,7 @@
 
 // begin records the start of the send. The caller holds the board's lock.
 func (c *Choice) begin() {
-	c.build = c.record.build()
+	c.build, c.born = c.record.build(), c.record.startMillis()
 	c.sentAt = time.Now()
 	c.record.running++
 	c.record.pending += c.prefillTokens
--- a/internal/relay/mtfront/deliver.go
+++ b/internal/relay/mtfront/deliver.go
@@ -59,6 +59,9 @@
 // whole reads a plain answer to its end and then passes it on.
 func (r *request) whole(ctx context.Context, choice *mtboard.Choice, link *mtlink.Link, response *http.Response, answer *fleetv1.Answer) result {
 	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBody))
+	if len(body) > 0 {
+		r.bodyAt = time.Now()
+	}
 	r.ending.Take(body)
 	ended := len(body) < wholeBody
 	if err == nil && ended {
@@ -129,6 +132,9 @@
 
 // done logs a whole answer.
 func (r *request) done(status int, choice *mtboard.Choice, size int) {
+	if status < http.StatusMultipleChoices && size > 0 {
+		r.acquit(choice)
+	}
 	r.front.histogram(`answer_seconds{route="` + r.route.GetName() + `"}`).Observe(time.Since(r.begun))
 	r.front.trail.Metrics().Add(`requests_total{route="`+r.route.GetName()+`",status="`+strconv.Itoa(status)+`"}`, 1)
 	late := r.path.Cause(r.first, r.route.GetAim().AsDuration(), r.pause, r.route.GetGap().AsDuration())
--- a/internal/relay/mtfront/digest.go
+++ b/internal/relay/mtfront/digest.go
@@ -15,6 +15,8 @@
 const (
 	// digestTime is how often entries tell each other how far they know.
 	digestTime = 300 * time.Millisecond
+	// alarmTime is how long more of an alarm's cause is waited for.
+	alarmTime = 5 * time.Millisecond
 	// digestPeers are the entries, drawn anew each time, that are told: what is new
 	// passes through a hundred entries in three such steps, and what each sends does
 	// not grow with their number.
@@ -59,6 +61,8 @@
 		case <-ctx.Done():
 		case <-f.alarms:
 			most = math.MaxInt
+			// A crash breaks many requests off at once.
+			pause(ctx, alarmTime)
 		case <-f.spread:
 		case <-time.After(digestTime):
 		}
@@ -72,18 +76,26 @@
 	return ctx.Err()
 }
 
+// pause waits for a time, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // digestNow says how far this entry knows.
 func (f *Front) digestNow() *fleetv1.Digest {
 	view := f.roster.View()
 	digest := &fleetv1.Digest{
 		Entry: f.site.GetName(), Datacentre: f.site.GetDatacentre(), Targets: view.Settled(), Sum: view.Sum(),
-		Suspects: f.recent(), Speeds: f.board.Speeds(), Readers: f.lookForReaders(), Weights: f.board.NewestWeightsRevision(),
+		Speeds: f.board.Speeds(), Readers: f.lookForReaders(), Weights: f.board.NewestWeightsRevision(),
 		Counts: f.census.Known(), Asks: f.knowsFew(),
 	}
 	if catalog := f.catalog.Load(); catalog != nil {
 		digest.Catalog = catalog.Revision()
 	}
-	digest.Bans = f.banned()
+	f.culprits.Tell(digest)
 	if f.limited() > 0 || f.limits.Count() > 0 {
 		digest.Entries = uint32(max(f.quota.ObservedSize(), f.limiter.ObservedSize()))
 	}
@@ -158,12 +170,7 @@
 	}
 	f.logLimits(f.limits.Merge(digest.GetLimits()), digest.GetEntry())
 	f.peers.see(digest.GetPeers(), f.socket.Address())
-	for _, suspect := range digest.GetSuspects() {
-		f.suspects.Crash(suspect.GetDigest(), suspect.GetSource())
-	}
-	for _, ban := range digest.GetBans() {
-		f.suspects.Adopt(ban.GetDigest(), ban.GetAge().AsDuration())
-	}
+	f.hearCrashes(digest)
 	for _, speed := range digest.GetSpeeds() {
 		f.adopt(speed, "entry "+digest.GetEntry())
 	}
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -34,8 +34,8 @@
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 	"github.com/mustardtide/mustardtide/internal/relay/mtwords"
+	"github.com/mustardtide/mustardtide/internal/request/mtculprit"
 	"github.com/mustardtide/mustardtide/internal/request/mtorigin"
-	"github.com/mustardtide/mustardtide/internal/request/mtquarantine"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
 	"github.com/mustardtide/mustardtide/platform/mtobjects"
@@ -113,12 +113,14 @@
 	// without is what is left out to be measured.
 	without struct{ shedding, repeats bool }
 
+	// culprits are what requests crash targets; crashTold is when a digest went out last for
+	// news of that, as a time since begun.
+	culprits  *mtculprit.Culprits
+	crashTold atomic.Int64
+	asker     *http.Client
+
 	mu         sync.Mutex
 	allowances map[string]*mtallowance.RetryBudget
-	// fresh are the requests that broke targets of late.
-	fresh    []breakage
-	suspects *mtquarantine.Table
-	asker    *http.Client
 }
 
 // New returns an entry that knows nothing yet, on a network whose dials are
@@ -149,7 +151,7 @@
 		spread:     make(chan struct{}, 1),
 		alarms:     make(chan struct{}, 1),
 		learn:      make(chan ahead, 1),
-		suspects:   mtquarantine.After(crashes),
+		culprits:   mtculprit.New(),
 		asker:      &http.Client{Transport: network.Outside(), Timeout: askTime},
 		allowances: map[string]*mtallowance.RetryBudget{},
 	}
@@ -201,6 +203,7 @@
 		f.followLimits,
 		f.keepSize,
 		f.persistNamings,
+		f.persistBans,
 		f.republishOrigins,
 		f.standbys.run,
 		f.standbys.follow,
@@ -266,7 +269,14 @@
 	set.Gauge("targets_known", func() int64 { return int64(len(f.roster.View().All())) })
 	set.Gauge("targets_complete_revision", func() int64 { return f.roster.View().Complete() })
 	set.Gauge("targets_limited", func() int64 { return int64(f.limits.Count()) })
-	set.Gauge("requests_suspected", func() int64 { return f.suspects.Len() })
+	set.Gauge("crashes_known", func() int64 {
+		crashes, _ := f.culprits.Counts()
+		return int64(crashes)
+	})
+	set.Gauge("bans_known", func() int64 {
+		_, bans := f.culprits.Counts()
+		return int64(bans)
+	})
 	set.Gauge("origins_kept", func() int64 { return int64(f.origins.Len()) })
 	set.Gauge("peers_live", func() int64 { return int64(len(f.peers.list())) })
 	set.Gauge("entries_counted", func() int64 { return int64(f.entries()) })
--- a/internal/relay/mtfront/refuse.go
+++ b/internal/relay/mtfront/refuse.go
@@ -19,6 +19,9 @@
 // random, so that those who were refused together do not return together.
 const comeBack = 250 * time.Millisecond
 
+// bannedText tells a caller why its request is refused for good.
+const bannedText = "requests like this have crashed the targets that ran them"
+
 // end gives the caller the final answer where no target's could be delivered.
 func (r *request) end(last result) {
 	switch l := last.(type) {
@@ -30,6 +33,10 @@
 			r.fail("after a target that may have run it: " + l.why)
 			return
 		}
+		if l.banned {
+			r.reject(l.why, bannedAgain)
+			return
+		}
 		r.reject(l.why, r.front.board.RetryAfter(r.query)+comeBack/2+rand.N(comeBack))
 	case broken:
 		if r.delivered != nil {
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -26,6 +26,8 @@
 	unreached bool
 	// withheld says that the target's limit does not allow it.
 	withheld bool
+	// banned says that requests like it are refused.
+	banned bool
 }
 
 // broken is a send that may have run and brought no whole answer.
@@ -55,6 +57,7 @@
 	defer stop()
 	header := mtspeech.Outgoing(r.in.Header, r.dispatch(choice))
 	sent := time.Now()
+	r.sentAt, r.bodyAt = sent, time.Time{}
 	before := r.mayHaveRun
 	r.mayHaveRun = true
 	if err := link.Send(r.in.Method, r.uri, r.in.Host, header, r.body); err != nil {
@@ -66,6 +69,7 @@
 	}
 	answer := mtspeech.DecodeAnswer(response.StatusCode, response.Header)
 	r.observe(choice, answer, sent)
+	r.alive(choice, answer, sent)
 	if answer.GetRefused() {
 		r.mayHaveRun = before
 		drain(response)
@@ -114,6 +118,12 @@
 		r.unreached++
 		return nil, rejected{why: "it wants no more requests since it was chosen", unreached: true}
 	default:
+		if ban := r.ban(); ban != nil {
+			link.Release(0)
+			choice.End(mtboard.Abandoned{})
+			r.logBanned(ban)
+			return nil, rejected{why: bannedText, banned: true}
+		}
 		return link, nil
 	}
 	return nil, rejected{why: err.Error(), unreached: true}
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -18,6 +18,7 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/observe/mtlate"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
+	"github.com/mustardtide/mustardtide/internal/request/mtcomponent"
 	"github.com/mustardtide/mustardtide/internal/request/mtending"
 	"github.com/mustardtide/mustardtide/internal/request/mtresume"
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
@@ -71,6 +72,15 @@
 	mayHaveRun bool
 	// ending judges the end of the last answer.
 	ending *mtending.Ending
+	// sentAt is when the last target got the request, bodyAt when the first of its answer's body
+	// came, zero before.
+	sentAt, bodyAt time.Time
+	// partHashes and wholeHash identify the parts of the prompt and the whole request; nil and 0
+	// until they are asked for.
+	partHashes []mtcomponent.Component
+	wholeHash  mtcomponent.Component
+	// trial is set if the request runs though it is banned.
+	trial bool
 	// delivered is what the caller has of a stream that another target goes on
 	// with.
 	delivered *mtresume.Resume
@@ -118,9 +128,9 @@
 		r.reject("this entry is about to stop", f.closing.Load().RetryAfter(time.Now(), f.peers.ends()))
 		return
 	}
-	if !f.suspects.Empty() && f.suspects.Banned(r.fingerprint()) {
-		f.trail.Warn(mtkind.RequestDangerous, r.fields()...)
-		r.reject("requests like this have crashed the targets that ran them", dangerAgain)
+	if ban := r.ban(); ban != nil {
+		r.logBanned(ban)
+		r.reject(bannedText, bannedAgain)
 		return
 	}
 	r.serve(ctx)
@@ -245,6 +255,11 @@
 			break
 		}
 		r.paid = r.tries > 0
+		if ban := r.ban(); ban != nil {
+			r.logBanned(ban)
+			last = rejected{why: bannedText, banned: true}
+			break
+		}
 		r.front.consult(ctx, r.query)
 		choice := r.front.board.Choose(r.query)
 		if choice == nil {
@@ -297,9 +312,9 @@
 	if r.unreached > maxUnreached || r.tries >= int(r.route.GetAttempts()) || r.front.without.repeats && r.tries > 0 {
 		return false
 	}
-	switch last.(type) {
+	switch l := last.(type) {
 	case rejected:
-		return true
+		return !l.banned
 	case broken:
 		return r.repeatable()
 	default:
--- a/internal/relay/mtfront/stream.go
+++ b/internal/relay/mtfront/stream.go
@@ -89,6 +89,9 @@
 		r.pause = max(r.pause, time.Since(last))
 		last = time.Now()
 		chunk := buffer[:n]
+		if n > 0 && r.bodyAt.IsZero() {
+			r.bodyAt = last
+		}
 		closed := r.ending.Take(chunk)
 		if r.delivered != nil {
 			chunk = r.delivered.Take(chunk, closed)
--- a/internal/relay/mtfront/suspect.go
+++ b/internal/relay/mtfront/suspect.go
@@ -1,106 +1,184 @@
 package mtfront
 
 import (
-	"bytes"
-	"crypto/sha256"
-	"encoding/binary"
+	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
+	"github.com/mustardtide/mustardtide/internal/request/mtcomponent"
 )
 
 const (
-	// crashes is how many targets a request must break before it is refused: a
-	// sound one meets that many breaking targets within minutes only where the
-	// fleet has other troubles.
-	crashes = 3
-	// fingerprintSize is the length of a fingerprint in bytes.
-	fingerprintSize = 16
-	// tellTime is how long other entries are told of a break, in every digest:
-	// a caller sends such a request again within seconds, at any entry.
-	tellTime = 5 * time.Second
-	// maxTold bounds the breaks in a digest; a crash breaks as many requests as
-	// the engine ran.
-	maxTold = 24
-	// maxBans bounds the refused requests in a digest: an entry that starts hears of all
-	// within seconds.
-	maxBans = 8
-	// dangerAgain is when a caller of such a request may ask again.
-	dangerAgain = 30 * time.Second
+	// flowTime is how long after the first of an answer has come a target's end has another
+	// cause than that request: a deadly one crashes it as the answer begins.
+	flowTime = time.Second
+	// bannedAgain is when a caller of a banned request may ask again.
+	bannedAgain = 30 * time.Second
+	// crashNewsTime is the least time between two digests that go out for news of crashes.
+	crashNewsTime = 50 * time.Millisecond
+	// loggedParts and loggedName bound what a caller's list of parts adds to a log line.
+	loggedParts = 16
+	loggedName  = 32
 )
 
-// breakage is one break of which other entries are told.
-type breakage struct {
-	suspect *fleetv1.Suspect
-	since   time.Time
+// partIDs returns the ids of the prompt's parts as the caller names them.
+func (r *request) partIDs() []string {
+	if len(r.ask.GetParts()) == 0 {
+		return r.ask.GetNames()
+	}
+	ids := make([]string, 0, len(r.ask.GetParts()))
+	for _, part := range r.ask.GetParts() {
+		ids = append(ids, part.GetId())
+	}
+	return ids
+}
+
+// shared returns the parts of the prompt that other requests may have: all but the last.
+func (r *request) shared() []mtcomponent.Component {
+	parts := r.parts()
+	return slices.Clip(parts[:max(0, len(parts)-1)])
 }
 
-// fingerprint names requests of the same account, path and body.
-func (r *request) fingerprint() []byte {
-	hash := sha256.New()
-	for _, text := range [][]byte{[]byte(r.account.GetName()), []byte(r.in.Method), []byte(r.in.Host), []byte(r.uri), r.body} {
-		var length [8]byte
-		binary.LittleEndian.PutUint64(length[:], uint64(len(text)))
-		hash.Write(length[:])
-		hash.Write(text)
+func (r *request) parts() []mtcomponent.Component {
+	if r.partHashes == nil {
+		for _, id := range r.partIDs() {
+			r.partHashes = append(r.partHashes, mtcomponent.Part(id))
+		}
 	}
-	return hash.Sum(nil)[:fingerprintSize]
+	return slices.Clip(r.partHashes)
 }
 
-// broke notes that a target broke off while it ran the request. A request that
-// crashes targets comes again, and without this takes one more down each time.
+// wholeRequest identifies requests of the same account, path and body.
+func (r *request) wholeRequest() mtcomponent.Component {
+	if r.wholeHash == 0 {
+		r.wholeHash = mtcomponent.Whole([]byte(r.account.GetName()), []byte(r.in.Method), []byte(r.in.Host), []byte(r.uri), r.body)
+	}
+	return r.wholeHash
+}
+
+// ban returns what the request is refused for, nil if it may run. It is asked for again before
+// each send, as a request may have waited since it came.
+func (r *request) ban() *fleetv1.Ban {
+	if r.trial || !r.front.culprits.Refusing() {
+		return nil
+	}
+	components := append(r.parts(), r.wholeRequest())
+	ban := r.front.culprits.Match(components)
+	if ban != nil && r.front.first() && r.front.culprits.Try(components) {
+		r.trial = true
+		return nil
+	}
+	return ban
+}
+
+// logBanned says which of the prompt's parts the request is refused for, and the targets that
+// crashed.
+func (r *request) logBanned(ban *fleetv1.Ban) {
+	var names []string
+	for i, part := range r.parts() {
+		if slices.Contains(ban.GetComponents(), uint64(part)) {
+			names = append(names, shortened(r.partIDs()[i]))
+		}
+	}
+	r.front.trail.Warn(mtkind.RequestDangerous, append(r.fields(), append(banFields(ban), zap.Strings("parts", names))...)...)
+}
+
+// broke records that a target broke off while it ran the request.
 func (r *request) broke(choice *mtboard.Choice) {
-	suspect := &fleetv1.Suspect{Digest: r.fingerprint(), Source: choice.Incarnation()}
-	r.front.suspects.Crash(suspect.GetDigest(), suspect.GetSource())
-	r.front.mu.Lock()
-	r.front.fresh = append(r.front.fresh, breakage{suspect, time.Now()})
-	r.front.mu.Unlock()
+	target, born := choice.Incarnation()
+	r.front.trail.Warn(mtkind.RequestSuspected, append(r.fields(), zap.String("target", target), zap.Int64("born", born),
+		zap.Strings("parts", r.partNames()), zap.Duration("first", r.first), zap.Bool("flowing", r.flowing()))...)
+	if r.flowing() {
+		r.acquit(choice)
+		return
+	}
+	r.front.culprits.Crashed(target, born, r.sentAt, append(r.shared(), r.wholeRequest()))
+	r.front.logBans("own")
 	r.front.alarm()
-	r.front.trail.Warn(mtkind.RequestSuspected, append(r.fields(), zap.String("target", suspect.GetSource()),
-		zap.Strings("parts", r.partNames()), zap.Duration("first", r.first), zap.Int("breaks", r.front.suspects.Crashes(suspect.GetDigest())))...)
 }
 
-const (
-	// loggedParts and loggedName bound what a caller's list of parts adds to a log line.
-	loggedParts = 16
-	loggedName  = 32
-)
+// flowing reports whether the last answer has come for so long that its request cannot be what
+// ends its target.
+func (r *request) flowing() bool { return !r.bodyAt.IsZero() && time.Since(r.bodyAt) > flowTime }
 
-// partNames returns the ids of the prompt's first parts for the log.
-func (r *request) partNames() []string {
-	parts := r.ask.GetParts()
-	var names []string
-	for _, part := range parts[:min(len(parts), loggedParts)] {
-		names = append(names, part.GetId()[:min(len(part.GetId()), loggedName)])
+// acquit records that a target has answered the request. Only model engines read prompts.
+func (r *request) acquit(choice *mtboard.Choice) {
+	var components []mtcomponent.Component
+	if choice.Salt() != "" {
+		components = r.shared()
+	}
+	if r.front.culprits.Suspecting() {
+		components = append(components, r.wholeRequest())
+	}
+	if r.front.culprits.Acquit(components) {
+		r.front.logBans("own")
+		r.front.crashNews()
+	}
+}
+
+// alive records that a target has answered a request that was sent at a time.
+func (r *request) alive(choice *mtboard.Choice, answer *fleetv1.Answer, sent time.Time) {
+	if !answer.GetSealed() || !r.front.culprits.Suspecting() {
+		return
+	}
+	target, born := choice.Responder(answer)
+	if r.front.culprits.Answered(target, born, sent) {
+		r.front.crashNews()
+	}
+}
+
+// crashNews lets some of the other entries hear of crashes soon.
+func (f *Front) crashNews() {
+	now := time.Since(f.begun)
+	told := time.Duration(f.crashTold.Load())
+	if now-told >= crashNewsTime && f.crashTold.CompareAndSwap(int64(told), int64(now)) {
+		f.digest()
 	}
-	return names
 }
 
-// recent lists the breaks of which other entries are still told.
-func (f *Front) recent() []*fleetv1.Suspect {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for len(f.fresh) > 0 && time.Since(f.fresh[0].since) > tellTime {
-		f.fresh = f.fresh[1:]
+// hearCrashes takes in what another entry knows of crashes.
+func (f *Front) hearCrashes(digest *fleetv1.Digest) {
+	if f.culprits.Merge(digest) {
+		f.logBans("entry " + digest.GetEntry())
+		f.crashNews()
 	}
-	var list []*fleetv1.Suspect
-	for _, b := range f.fresh[max(0, len(f.fresh)-maxTold):] {
-		list = append(list, b.suspect)
+}
+
+// logBans says which requests are refused from now on, and which no longer.
+func (f *Front) logBans(from string) {
+	banned, lifted := f.culprits.Changes()
+	for _, ban := range banned {
+		f.trail.Warn(mtkind.ComponentBanned, append(banFields(ban), zap.String("from", from))...)
+	}
+	for _, ban := range lifted {
+		f.trail.Warn(mtkind.ComponentAcquitted, append(banFields(ban), zap.String("from", from))...)
+	}
+}
+
+func banFields(ban *fleetv1.Ban) []zap.Field {
+	var names []string
+	for _, value := range ban.GetComponents() {
+		names = append(names, mtcomponent.Component(value).String())
+	}
+	return []zap.Field{
+		zap.Strings("components", names), zap.Strings("crashed", ban.GetTargets()),
+		zap.Duration("since", ban.GetAge().AsDuration()), zap.String("times", strconv.Itoa(int(ban.GetTimes()))),
 	}
-	return list
 }
 
-// banned lists some of the requests that are refused here, for entries that have started
-// since other entries were told of their breaks.
-func (f *Front) banned() []*fleetv1.Ban {
-	var list []*fleetv1.Ban
-	for digest, age := range f.suspects.Sample(maxBans) {
-		list = append(list, &fleetv1.Ban{Digest: bytes.Clone(digest), Age: durationpb.New(age)})
+// partNames returns the ids of the prompt's first parts for the log.
+func (r *request) partNames() []string {
+	ids := r.partIDs()
+	names := make([]string, 0, min(len(ids), loggedParts))
+	for _, id := range ids[:min(len(ids), loggedParts)] {
+		names = append(names, shortened(id))
 	}
-	return list
+	return names
 }
+
+func shortened(id string) string { return id[:min(len(id), loggedName)] }
--- /dev/null
+++ b/internal/request/mtcrash/culprits.go
@@ -0,0 +1,189 @@
+package mtcrash
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/mustardtide/mustardtide/internal/request/mtcomponent"
+)
+
+// suspect is a component and the crashes that count against it.
+type suspect struct {
+	name    mtcomponent.Component
+	crashes []*record
+}
+
+// Culprits returns sets of components: requests that have all of one crash targets. A set has
+// more than one where its components were at the same crashes, so that any of them may be the
+// cause. known returns the culprits known before among some components; convicted reports whether
+// one crash is enough for a component, as it was a culprit long before.
+//
+// A crash counts against the component that was at most others, and against no other one.
+func (c *Crashes) Culprits(known func(has func(mtcomponent.Component) bool) [][]mtcomponent.Component, convicted func(mtcomponent.Component) bool) [][]mtcomponent.Component {
+	var sets [][]mtcomponent.Component
+	explained := c.explained(known)
+	list := c.suspected(convicted)
+	for i, s := range list {
+		open := slices.DeleteFunc(slices.Clone(s.crashes), func(r *record) bool { return hasOther(explained[r], s.name) })
+		set := []mtcomponent.Component{s.name}
+		guilty := len(open) > 0 && convicted(s.name)
+		if !guilty && len(open) >= minCrashes {
+			set = c.alike(s.name, s.crashes)
+			guilty = c.successive(s.name, open) >= c.needed(s.name, open) && !rivalled(list[i+1:], s, set)
+		}
+		if !guilty && len(open) < minCrashes {
+			continue
+		}
+		for _, r := range s.crashes {
+			explained[r] = append(explained[r], set)
+		}
+		if set = reduce(set); guilty && set != nil && !slices.ContainsFunc(sets, func(other []mtcomponent.Component) bool { return slices.Equal(other, set) }) {
+			sets = append(sets, set)
+		}
+	}
+	return sets
+}
+
+// rivalled reports whether one of the next suspects has as many crashes, other ones among them, and
+// shares half of them: which of the two is the culprit shows later.
+func rivalled(next []suspect, s suspect, set []mtcomponent.Component) bool {
+	for _, other := range next {
+		if len(other.crashes) < len(s.crashes) {
+			return false
+		}
+		shared := 0
+		for _, r := range other.crashes {
+			if slices.Contains(s.crashes, r) {
+				shared++
+			}
+		}
+		if 2*shared >= len(s.crashes) && !slices.Contains(set, other.name) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasOther reports whether one of some culprits is another than a component, and is not one that
+// cannot be told from it.
+func hasOther(culprits [][]mtcomponent.Component, name mtcomponent.Component) bool {
+	return slices.ContainsFunc(culprits, func(set []mtcomponent.Component) bool { return !slices.Contains(set, name) })
+}
+
+// explained returns the known culprits of each crash.
+func (c *Crashes) explained(known func(has func(mtcomponent.Component) bool) [][]mtcomponent.Component) map[*record][][]mtcomponent.Component {
+	explained := map[*record][][]mtcomponent.Component{}
+	for _, r := range c.records {
+		explained[r] = known(func(name mtcomponent.Component) bool { return c.suspects(r, name) })
+	}
+	return explained
+}
+
+// suspected returns what may be a culprit, those with most crashes first.
+func (c *Crashes) suspected(convicted func(mtcomponent.Component) bool) []suspect {
+	var list []suspect
+	for name, count := range c.count {
+		if count < minCrashes && !convicted(name) {
+			continue
+		}
+		list = append(list, suspect{name, c.against(name)})
+	}
+	slices.SortFunc(list, func(x, y suspect) int {
+		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(x.name, y.name))
+	})
+	return list
+}
+
+// Settled reports whether every crash counts already.
+func (c *Crashes) Settled() bool {
+	return !slices.ContainsFunc(c.records, func(r *record) bool { return !r.void && !r.settled() })
+}
+
+func (r *record) settled() bool { return time.Since(r.heardAt) >= settleTime }
+
+// needed returns how many crashes in succession make a culprit of a component that was at some
+// crashes. The more others there were since the first of them, the more of its own are chance.
+func (c *Crashes) needed(name mtcomponent.Component, crashes []*record) int {
+	least := minCrashes
+	if _, answered := c.acquitted[name]; answered {
+		least += answeredCrashes
+	}
+	others := -len(crashes)
+	for _, r := range c.records {
+		if !r.void && !r.at.Before(crashes[0].at) {
+			others++
+		}
+	}
+	const othersPerCrash = 2 // as a power of two: each fourfold number of others takes one more.
+	return min(maxCrashesNeeded, least+(bits.Len(uint(max(0, others)))+othersPerCrash-1)/othersPerCrash)
+}
+
+// Targets returns those that crashed under a set of components.
+func (c *Crashes) Targets(set []mtcomponent.Component) []string {
+	var targets []string
+	for _, r := range c.against(set[0]) {
+		targets = append(targets, r.target)
+	}
+	return targets
+}
+
+// against returns the crashes that count against a component, in their order.
+func (c *Crashes) against(name mtcomponent.Component) []*record {
+	var list []*record
+	for _, r := range c.records {
+		if r.settled() && c.suspects(r, name) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(x, y *record) int {
+		return cmp.Or(x.at.Compare(y.at), cmp.Compare(x.target, y.target))
+	})
+	return list
+}
+
+// successive counts the crashes of requests that were sent after the one before. Targets that
+// fail at the same time, as those of a rack do, count once.
+func (c *Crashes) successive(name mtcomponent.Component, crashes []*record) int {
+	count := 0
+	var last time.Time
+	for _, r := range crashes {
+		if r.sent[name].After(last) {
+			count++
+			last = r.at
+		}
+	}
+	return count
+}
+
+// alike returns the component and those that were at all its crashes.
+func (c *Crashes) alike(name mtcomponent.Component, crashes []*record) []mtcomponent.Component {
+	set := []mtcomponent.Component{name}
+	for other := range crashes[0].sent {
+		if other != name && !slices.ContainsFunc(crashes, func(r *record) bool { return !c.suspects(r, other) }) {
+			set = append(set, other)
+		}
+	}
+	slices.Sort(set)
+	return set
+}
+
+// reduce leaves a whole request alone in its set, as it has all that is its own. No request is
+// two, so that such a set has no use.
+func reduce(set []mtcomponent.Component) []mtcomponent.Component {
+	var wholes []mtcomponent.Component
+	for _, name := range set {
+		if name.IsWhole() {
+			wholes = append(wholes, name)
+		}
+	}
+	switch len(wholes) {
+	case 0:
+		return set
+	case 1:
+		return wholes
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/request/mtculprit/model_test.go
@@ -0,0 +1,108 @@
+package mtculprit_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// Guards against a deadly part that crashes more targets than the rule allows at the sizes of
+// today's fleets and of the one aimed at, with datagrams lost and entries that restart.
+func TestDeadlyPartIsContainedAtEachSize(t *testing.T) {
+	for _, entries := range []int{1, 4, 30, 356} {
+		for name, set := range map[string]func(p *plan){
+			"steady":          func(*plan) {},
+			"datagrams lost":  func(p *plan) { p.loss = 0.3 },
+			"rare":            func(p *plan) { p.deadly, p.duration = 14*time.Second, 120*time.Second },
+			"one by one":      func(p *plan) { p.restarts, p.deadly = p.duration/time.Duration(max(4, entries)), 2*time.Second },
+			"all at once":     func(p *plan) { p.all = 8 * time.Second },
+			"store away":      func(p *plan) { p.away, p.restarts = 5*time.Second, 3*time.Second },
+			"other failures":  func(p *plan) { p.resets, p.crashes, p.racks = 2, 0.3, 0.1 },
+			"repeated":        func(p *plan) { p.repeat = 3 },
+			"the first part":  func(p *plan) { p.place = 0 },
+			"slow to crash":   func(p *plan) { p.slow = time.Second },
+			"many at a time":  func(p *plan) { p.deadly = 30 * time.Millisecond },
+			"few sound ones":  func(p *plan) { p.rate = 3 },
+			"hardly any part": func(p *plan) { p.chains = 1 },
+		} {
+			if entries == 356 && (name == "rare" || testing.Short()) {
+				continue
+			}
+			t.Run(fmt.Sprint(entries, " entries, ", name), func(t *testing.T) {
+				p := plan{
+					seed: 1, entries: entries, engines: max(9, 3*entries), rate: 20 + 2*float64(entries), chains: 10,
+					deadly: 300 * time.Millisecond, place: 1, loss: 0.01, duration: 27 * time.Second,
+				}
+				set(&p)
+				expectContained(t, p)
+			})
+		}
+	}
+}
+
+func expectContained(t *testing.T, p plan) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		got := play(p)
+		g.Expect(got.late).To(BeNumerically("<=", repeatsAllowed), "%d crashes, %+v", len(got.crashes), p)
+		g.Expect(got.turned).To(BeNumerically("<=", got.sound/10), "%d crashes, %+v", len(got.crashes), p)
+	})
+}
+
+// Guards against sound requests that are refused as targets crash or connections break for other
+// reasons than a request.
+func TestOtherFailuresBanNothing(t *testing.T) {
+	for name, p := range map[string]plan{
+		"resets":            {resets: 5},
+		"crashes":           {crashes: 2},
+		"racks":             {racks: 0.5},
+		"all of it":         {resets: 3, crashes: 1, racks: 0.3, loss: 0.3},
+		"with few requests": {resets: 3, crashes: 1, racks: 0.3, rate: 4},
+		"while they start":  {resets: 3, crashes: 1, racks: 0.3, restarts: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				p.seed, p.entries, p.engines, p.chains, p.duration = seed, 6, 12, 10, 60*time.Second
+				if p.rate == 0 {
+					p.rate = 40
+				}
+				synctest.Test(t, func(t *testing.T) {
+					NewWithT(t).Expect(play(p).turned).To(BeZero(), "%+v", p)
+				})
+			}
+		})
+	}
+}
+
+// Guards against combinations of the above that nobody thought of.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		p := plan{
+			seed:     rapid.Uint64().Draw(r, "seed"),
+			entries:  rapid.IntRange(1, 12).Draw(r, "entries"),
+			engines:  rapid.IntRange(9, 20).Draw(r, "engines"),
+			rate:     rapid.Float64Range(15, 60).Draw(r, "rate"),
+			chains:   rapid.IntRange(2, 10).Draw(r, "chains"),
+			deadly:   time.Duration(rapid.IntRange(200, 3000).Draw(r, "deadly")) * time.Millisecond,
+			place:    rapid.IntRange(0, 2).Draw(r, "place"),
+			repeat:   rapid.IntRange(0, 3).Draw(r, "repeat"),
+			slow:     time.Duration(rapid.IntRange(0, 1000).Draw(r, "slow")) * time.Millisecond,
+			loss:     rapid.Float64Range(0, 0.3).Draw(r, "loss"),
+			resets:   rapid.Float64Range(0, 2).Draw(r, "resets"),
+			crashes:  rapid.Float64Range(0, 0.3).Draw(r, "crashes"),
+			racks:    rapid.Float64Range(0, 0.1).Draw(r, "racks"),
+			duration: 27 * time.Second,
+		}
+		if rapid.Bool().Draw(r, "restarts") {
+			p.restarts = time.Duration(rapid.IntRange(1000, 8000).Draw(r, "each")) * time.Millisecond
+		}
+		if rapid.Bool().Draw(r, "all at once") {
+			p.all = time.Duration(rapid.IntRange(6000, 20000).Draw(r, "all")) * time.Millisecond
+		}
+		expectContained(t, p)
+	})
+}
--- a/internal/request/mtquarantine/table.go
+++ b/internal/request/mtquarantine/table.go
@@ -12,7 +12,6 @@
 package mtquarantine
 
 import (
-	"iter"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -65,8 +64,7 @@
 // Table holds suspects and quarantined requests. It is safe for concurrent use;
 // while it is empty a look-up is one atomic read.
 type Table struct {
-	count     atomic.Int64
-	condemned int
+	count atomic.Int64
 
 	mu    sync.Mutex
 	marks map[[size]byte]*mark
@@ -74,12 +72,7 @@
 }
 
 // New returns an empty table.
-func New() *Table { return After(condemned) }
-
-// After returns an empty table that quarantines a request at so many crashes.
-func After(crashes int) *Table {
-	return &Table{marks: map[[size]byte]*mark{}, condemned: crashes}
-}
+func New() *Table { return &Table{marks: map[[size]byte]*mark{}} }
 
 // Crash notes that a target died while it ran a request, and reports whether
 // that quarantines the request. source names the target and its incarnation:
@@ -91,32 +84,16 @@
 	if m == nil {
 		return false
 	}
-	if !slices.Contains(m.crashes, source) && len(m.crashes) < t.condemned {
+	if !slices.Contains(m.crashes, source) && len(m.crashes) < condemned {
 		m.crashes = append(m.crashes, source)
 		m.since = time.Now()
 	}
-	if len(m.crashes) >= t.condemned {
+	if len(m.crashes) >= condemned {
 		m.banned = true
 	}
 	return m.banned
 }
 
-// Crashes returns the number of crashes that are known of a request.
-func (t *Table) Crashes(digest []byte) int {
-	if t.Empty() {
-		return 0
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if m := t.find(digest); m != nil {
-		return len(m.crashes)
-	}
-	return 0
-}
-
-// Len returns the number of suspects and quarantined requests.
-func (t *Table) Len() int64 { return t.count.Load() }
-
 // Ban quarantines a request.
 func (t *Table) Ban(digest []byte) {
 	t.mu.Lock()
@@ -127,45 +104,6 @@
 	}
 }
 
-// Adopt takes in that another process quarantined a request some time ago.
-func (t *Table) Adopt(digest []byte, age time.Duration) {
-	if age > banTime {
-		return
-	}
-	since := time.Now().Add(-max(0, age))
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	m := t.mark(digest)
-	if m == nil {
-		return
-	}
-	if !m.banned || since.Before(m.since) {
-		m.since = since
-	}
-	m.banned = true
-}
-
-// Sample yields some quarantined requests and how long ago each was, drawn by the map's
-// order, for processes that have not heard of them.
-func (t *Table) Sample(most int) iter.Seq2[[]byte, time.Duration] {
-	return func(yield func([]byte, time.Duration) bool) {
-		if t.Empty() {
-			return
-		}
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		count := 0
-		for digest, m := range t.marks {
-			if !m.banned || m.lapsed(time.Now()) {
-				continue
-			}
-			if count++; count > most || !yield(digest[:], time.Since(m.since)) {
-				return
-			}
-		}
-	}
-}
-
 // Learn takes in what another process has quarantined of late.
 func (t *Table) Learn(digests [][]byte) {
 	for _, digest := range digests {
