--- a/internal/request/mtcrash/crashes.go
+++ b/internal/request/mtcrash/crashes.go
@@ -68,6 +68,9 @@
 // Len returns the number of crashes.
 func (c *Crashes) Len() int { return len(c.records) }
 
+// Knows reports whether the component was at some crash.
+func (c *Crashes) Knows(name mtcomponent.Component) bool { return c.count[name] > 0 }
+
 // Add records a crash, or what another process saw of one. It reports whether something of it is
 // new.
 func (c *Crashes) Add(crash *fleetv1.Crash) bool {
--- a/internal/request/mtculprit/culprits.go
+++ b/internal/request/mtculprit/culprits.go
@@ -7,7 +7,7 @@
 package mtculprit
 
 import (
-	"slices"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,9 +23,10 @@
 	// updateInterval is the least time between two searches for culprits: a crash is reported
 	// once for each request that ran.
 	updateInterval = 10 * time.Millisecond
-	// maxRequest bounds the components of one request that are held against it or speak for
-	// others: a caller may name any number of parts.
-	maxRequest = 32
+	// maxAnswered bounds the components of one request for which its answer speaks, maxSuspected
+	// those against which its crash counts: a caller may name any number of parts.
+	maxAnswered  = 1024
+	maxSuspected = 32
 	// maxBans bounds the bans in a digest.
 	maxBans = 8
 )
@@ -61,21 +62,36 @@
 // Crashed records that a target crashed while it ran a request with some components, which had
 // been sent to it at a time.
 func (c *Culprits) Crashed(target string, born int64, sent time.Time, components []mtcomponent.Component) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	crash := &fleetv1.Crash{Target: target, Born: born}
-	for _, name := range c.limit(components) {
-		if at, answered := c.acquittals.At(name); answered && time.Since(at) < mtcrash.AcquittalTime {
-			continue
-		}
+	for _, name := range c.suspected(components) {
 		crash.Components = append(crash.Components, uint64(name))
 		crash.Sent = append(crash.Sent, uint32(time.Since(sent).Milliseconds()))
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.crashes.Add(crash)
 	c.recall(crash)
 	c.change()
 }
 
+// suspected returns the components that were not answered of late. If they are many, those come
+// first that were at other crashes.
+func (c *Culprits) suspected(components []mtcomponent.Component) []mtcomponent.Component {
+	var known, others []mtcomponent.Component
+	for _, name := range components {
+		switch at, answered := c.acquittals.At(name); {
+		case answered && time.Since(at) < mtcrash.AcquittalTime:
+		case c.crashes.Knows(name):
+			known = append(known, name)
+		default:
+			others = append(others, name)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	known = append(known, others...)
+	return known[:min(len(known), maxSuspected)]
+}
+
 // Answered records that a target has answered a request that was sent at a time. It reports
 // whether a crash turned out to be none.
 func (c *Culprits) Answered(target string, born int64, sent time.Time) bool {
@@ -94,7 +110,7 @@
 // Acquit records that a request with some components has its answer. It reports whether that is
 // news for other entries.
 func (c *Culprits) Acquit(components []mtcomponent.Component) bool {
-	components = c.limit(components)
+	components = components[:min(len(components), maxAnswered)]
 	for _, name := range components {
 		c.acquittals.Record(name)
 	}
@@ -120,14 +136,6 @@
 	return news || len(lifted) > 0
 }
 
-// limit returns a bounded number of components, the same of any list that has them.
-func (c *Culprits) limit(components []mtcomponent.Component) []mtcomponent.Component {
-	if len(components) <= maxRequest {
-		return components
-	}
-	return slices.Sorted(slices.Values(components))[:maxRequest]
-}
-
 // Merge takes in what a digest of another entry says. It reports whether something is new.
 func (c *Culprits) Merge(digest *fleetv1.Digest) bool {
 	if len(digest.GetCrashes())+len(digest.GetAcquittals())+len(digest.GetBans()) == 0 {
