Keep a quarantine when a flood of suspects fills the table

The older interface's table dropped its oldest entry at 4,096, quarantined or not: some hundred crashed batches lifted every quarantine. Suspects go first now. TestFloodLiftsNoQuarantine failed before.

--- a/internal/request/mtquarantine/table.go
+++ b/internal/request/mtquarantine/table.go
@@ -188,8 +188,7 @@
 	name := [size]byte(digest)
 	t.order = slices.DeleteFunc(t.order, func(other [size]byte) bool { return other == name })
 	if len(t.order) >= kept {
-		delete(t.marks, t.order[0])
-		t.order = t.order[1:]
+		t.evict()
 	}
 	m := &mark{since: time.Now()}
 	t.order = append(t.order, name)
@@ -197,3 +196,10 @@
 	t.count.Store(int64(len(t.marks)))
 	return m
 }
+
+// evict drops the oldest suspect, or the oldest quarantined request if there is no suspect.
+func (t *Table) evict() {
+	oldest := max(0, slices.IndexFunc(t.order, func(name [size]byte) bool { return !t.marks[name].banned }))
+	delete(t.marks, t.order[oldest])
+	t.order = slices.Delete(t.order, oldest, oldest+1)
+}
--- a/internal/request/mtquarantine/table_test.go
+++ b/internal/request/mtquarantine/table_test.go
@@ -63,3 +63,14 @@
 		g.Expect(held).To(Equal(4096))
 	})
 }
+
+// Guards against a flood of suspects that lifts a quarantine.
+func TestFloodLiftsNoQuarantine(t *testing.T) {
+	g := NewWithT(t)
+	table := mtquarantine.New()
+	table.Ban(digest(0))
+	for n := range 10000 {
+		table.Crash(digest(n+1), "trip-0/1")
+	}
+	g.Expect(table.Banned(digest(0))).To(BeTrue())
+}
