--- a/internal/standin/mtfleet/poison_test.go
+++ b/internal/standin/mtfleet/poison_test.go
@@ -254,3 +254,23 @@
 		g.Expect(begun).To(Equal(3), "the first run, its rerun and the resend")
 	})
 }
+
+// Guards against prompts that begin with the same deadly text, no two of them alike, that crash one
+// target after another, as each crash is held against the whole request.
+func TestDeadlyPrefixIsContained(t *testing.T) {
+	const (
+		crashesAllowed = 5
+		repeatsAllowed = 3
+	)
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newPoisonFleet(g)
+		defer p.close()
+		prefix := poisonMarker + strings.Repeat(" and so on", 400)
+		for i := range 20 {
+			p.ask(i%entriesUsed, fmt.Sprint(prefix, i))
+			time.Sleep(time.Second)
+		}
+		g.Expect(p.crashes()).To(BeNumerically("<=", crashesAllowed+repeatsAllowed))
+	})
+}
