Hold crashes against the beginnings of prompts in the older interface too

Now against the marks of the prompt's chain as well, by the same module; messages between entries and sidecars carry what is known of crashes and bans while there is any. Marks at fixed depths stand for a prompt, so that prompts of different length that begin alike have the same ones.

TestProofPoisonStops and the other proofs hold as before. Not covered: the platform's objects keep no marks, so that a restart of all processes forgets them.

--- a/internal/role/mtcontrol/control.go
+++ b/internal/role/mtcontrol/control.go
@@ -7,9 +7,11 @@
 
 	"connectrpc.com/connect"
 
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/internal/members/mtlist"
 	"github.com/mustardtide/mustardtide/internal/observe/mtevent"
+	"github.com/mustardtide/mustardtide/internal/request/mtculprit"
 	"github.com/mustardtide/mustardtide/internal/settings/mtspread"
 )
 
@@ -21,6 +23,8 @@
 	status func() *mustardtidev1.StatusReply
 	drain  func() uint32
 	bans   func() [][]byte
+	// culprits are told in every message.
+	culprits *mtculprit.Culprits
 }
 
 // New returns the control service of one process. status describes it; drain
@@ -29,8 +33,11 @@
 	return &Control{log: log, spread: spread, list: list, status: status, drain: drain}
 }
 
-// Carry adds to every message what this process has quarantined of late.
-func (c *Control) Carry(bans func() [][]byte) { c.bans = bans }
+// Carry adds to every message what this process has quarantined of late, and what it knows of
+// crashes.
+func (c *Control) Carry(bans func() [][]byte, culprits *mtculprit.Culprits) {
+	c.bans, c.culprits = bans, culprits
+}
 
 // Peer is what every message of this process carries.
 func (c *Control) Peer() *mustardtidev1.Peer {
@@ -42,6 +49,10 @@
 	if c.bans != nil {
 		peer.Bans = c.bans()
 	}
+	if c.culprits != nil && c.culprits.Suspecting() {
+		peer.Culprits = &fleetv1.Digest{}
+		c.culprits.Tell(peer.Culprits)
+	}
 	return peer
 }
 
--- a/internal/role/mtentry/entry.go
+++ b/internal/role/mtentry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtevent"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/outside/mtplatform"
+	"github.com/mustardtide/mustardtide/internal/request/mtculprit"
 	"github.com/mustardtide/mustardtide/internal/request/mtquarantine"
 	"github.com/mustardtide/mustardtide/internal/request/mtsuspicion"
 	"github.com/mustardtide/mustardtide/internal/role/mtcontrol"
@@ -43,6 +44,7 @@
 	clients  *clients
 	places   *places
 	poison   *mtquarantine.Table
+	culprits *mtculprit.Culprits
 	streams  *mtstreams.Limiter
 	credit   *mtcredit.Credit
 	budgets  budgets
@@ -71,9 +73,10 @@
 	e.control = mtcontrol.New(log, e.spread, e.list, e.status, e.drain)
 	e.clients = newClients(network, e.peer, e.control.Interceptor())
 	e.poison = mtquarantine.New()
+	e.culprits = mtculprit.New()
 	e.streams = mtstreams.New()
 	e.credit = mtcredit.New(process.GetName(), network, e.spread, e.list, e.control)
-	e.control.Carry(e.poison.Bans)
+	e.control.Carry(e.poison.Bans, e.culprits)
 	return e
 }
 
--- a/internal/role/mtentry/poison.go
+++ b/internal/role/mtentry/poison.go
@@ -4,12 +4,14 @@
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
 	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
+	"github.com/mustardtide/mustardtide/internal/request/mtprompt"
 )
 
 // hear takes in a process's clock and what it has quarantined of late.
 func (e *Entry) hear(peer *mustardtidev1.Peer) {
 	e.log.Clock().See(peer.GetStamp())
 	e.poison.Learn(peer.GetBans())
+	e.culprits.Merge(peer.GetCulprits())
 }
 
 // suspicion takes in what the platform's objects say of a request.
@@ -26,7 +28,7 @@
 // screen refuses a quarantined request and marks a suspect, which its sidecar
 // runs alone.
 func (e *Entry) screen(work *mustardtidev1.Work) *mtrefusal.Refusal {
-	if e.poison.Banned(work.GetPrint()) {
+	if e.poison.Banned(work.GetPrint()) || e.culprits.Refusing() && e.culprits.Match(mtprompt.Components(work)) != nil {
 		return mtrefusal.New(mtcode.Quarantined, "").AsFinal()
 	}
 	work.Suspect = work.GetSuspect() || e.poison.Suspect(work.GetPrint())
--- a/internal/role/mtsidecar/run.go
+++ b/internal/role/mtsidecar/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -159,22 +160,23 @@
 func (s *Sidecar) perform(ctx context.Context, ask *mustardtidev1.RunRequest, started *run, emit func(*mustardtidev1.Frame) error) *mustardtidev1.Finish {
 	work := ask.GetWork()
 	s.note(mtkind.RunBegan, work, "")
-	source := s.incarnationOf()
-	finish, err := call(ctx, s.program(s.service()), work, ask.GetCall(), s.firstly(work, emit))
+	source, times := s.incarnationOf(), runTimes{begun: time.Now()}
+	finish, err := call(ctx, s.program(s.service()), work, ask.GetCall(), s.firstly(work, &times, emit))
 	if err != nil {
 		s.note(mtkind.RunFailed, work, err.Error())
-		return &mustardtidev1.Finish{Refusal: s.judge(work, source, failure(ctx, started, err)).Message()}
+		return &mustardtidev1.Finish{Refusal: s.judge(work, source, times, failure(ctx, started, err)).Message()}
 	}
 	s.note(mtkind.RunFinished, work, "")
 	return finish
 }
 
-// firstly tells admission when the first output comes.
-func (s *Sidecar) firstly(work *mustardtidev1.Work, emit func(*mustardtidev1.Frame) error) func(*mustardtidev1.Frame) error {
+// firstly tells admission when the first output comes, and notes the time.
+func (s *Sidecar) firstly(work *mustardtidev1.Work, times *runTimes, emit func(*mustardtidev1.Frame) error) func(*mustardtidev1.Frame) error {
 	told := false
 	return func(f *mustardtidev1.Frame) error {
 		if !told && f.GetData() != nil {
 			told = true
+			times.first = time.Now()
 			s.admit.first(work)
 		}
 		return emit(f)
--- a/internal/role/mtsidecar/sidecar.go
+++ b/internal/role/mtsidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"github.com/mustardtide/mustardtide/internal/outside/mtplatform"
 	"github.com/mustardtide/mustardtide/internal/prefix/mtview"
 	"github.com/mustardtide/mustardtide/internal/request/mtclaim"
+	"github.com/mustardtide/mustardtide/internal/request/mtculprit"
 	"github.com/mustardtide/mustardtide/internal/request/mtonce"
 	"github.com/mustardtide/mustardtide/internal/request/mtquarantine"
 	"github.com/mustardtide/mustardtide/internal/request/mtsuspicion"
@@ -49,6 +50,8 @@
 	homes   *homes
 	orders  *orders
 	poison  *mtquarantine.Table
+	// culprits are what prompts crash targets by their beginnings.
+	culprits *mtculprit.Culprits
 	// suspicions are shared through the platform.
 	suspicions *mtsuspicion.Store
 	server     *mtserver.Server
@@ -69,23 +72,24 @@
 // New returns a sidecar with the given process settings.
 func New(process *mustardtidev1.Process, network *mtnet.Net, log *mtevent.Log) *Sidecar {
 	s := &Sidecar{
-		process: process,
-		net:     network,
-		log:     log,
-		spread:  mtspread.New(process.GetDatacentre(), log),
-		list:    mtlist.New(log),
-		view:    mtview.New(),
-		runs:    newRuns(),
-		admit:   newAdmit(),
-		once:    mtonce.New(),
-		poison:  mtquarantine.New(),
-		homes:   newHomes(network.Internal(), network.Scheme()),
-		started: time.Now(),
-		boot:    rand.Text(),
-		base:    context.Background(),
+		process:  process,
+		net:      network,
+		log:      log,
+		spread:   mtspread.New(process.GetDatacentre(), log),
+		list:     mtlist.New(log),
+		view:     mtview.New(),
+		runs:     newRuns(),
+		admit:    newAdmit(),
+		once:     mtonce.New(),
+		poison:   mtquarantine.New(),
+		culprits: mtculprit.New(),
+		homes:    newHomes(network.Internal(), network.Scheme()),
+		started:  time.Now(),
+		boot:     rand.Text(),
+		base:     context.Background(),
 	}
 	s.control = mtcontrol.New(log, s.spread, s.list, s.status, s.drain)
-	s.control.Carry(s.poison.Bans)
+	s.control.Carry(s.poison.Bans, s.culprits)
 	return s
 }
 
--- a/internal/role/mtsidecar/suspect.go
+++ b/internal/role/mtsidecar/suspect.go
@@ -8,23 +8,35 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtrefusal"
 	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+	"github.com/mustardtide/mustardtide/internal/request/mtprompt"
 )
 
 // trialPause is when a suspect may come back while another of its runs is being
 // tried: about the time of one run.
 const trialPause = 5 * time.Second
 
+// flowTime is how long after the first of an answer has come a target's end has
+// another cause than that run.
+const flowTime = time.Second
+
+// runTimes are when the target got a run, and when the first of its answer came;
+// zero before.
+type runTimes struct{ begun, first time.Time }
+
+func (t runTimes) flowing() bool { return !t.first.IsZero() && time.Since(t.first) > flowTime }
+
 // hear takes in what another process has quarantined.
 func (s *Sidecar) hear(peer *mustardtidev1.Peer) {
 	s.log.Clock().See(peer.GetStamp())
 	s.poison.Learn(peer.GetBans())
+	s.culprits.Merge(peer.GetCulprits())
 }
 
 // try says why a request may not run, or nil. A quarantined one never runs; a
 // suspect's rerun is claimed, so that two entries do not rerun it at once. While
 // the platform is down a suspect runs alone on the word of its entry.
 func (s *Sidecar) try(ctx context.Context, work *mustardtidev1.Work) *mtrefusal.Refusal {
-	if s.poison.Banned(work.GetPrint()) {
+	if s.poison.Banned(work.GetPrint()) || s.culprits.Refusing() && s.culprits.Match(mtprompt.Components(work)) != nil {
 		return quarantined()
 	}
 	work.Suspect = work.GetSuspect() || s.poison.Suspect(work.GetPrint())
@@ -53,12 +65,17 @@
 // judge looks at a run that failed. Where the target's program has died with
 // it, the run's request becomes a suspect, and at the second crash it is
 // quarantined: without that its caller's resends take down one target after
-// another. A broken connection to a program that lives is no crash.
-func (s *Sidecar) judge(work *mustardtidev1.Work, source string, refusal *mtrefusal.Refusal) *mtrefusal.Refusal {
+// another. A broken connection to a program that lives is no crash. The crash
+// counts against the beginnings of the prompt too, unless the answer has come
+// for some time.
+func (s *Sidecar) judge(work *mustardtidev1.Work, source string, times runTimes, refusal *mtrefusal.Refusal) *mtrefusal.Refusal {
 	if refusal.Code() != mtcode.TargetDied || refusal.Ran() == mustardtidev1.Ran_NO || !s.died(source) {
 		return refusal
 	}
 	s.note(mtkind.RunSuspected, work, source)
+	if !times.flowing() {
+		s.culprits.Crashed(source, 0, times.begun, mtprompt.Components(work))
+	}
 	banned := s.poison.Crash(work.GetPrint(), source)
 	known, err := s.suspicions.Crash(s.base, work.GetPrint(), source, work.GetSuspect())
 	if err != nil {
@@ -79,7 +96,11 @@
 
 // acquit clears a suspect that has run to its end.
 func (s *Sidecar) acquit(work *mustardtidev1.Work, finish *mustardtidev1.Finish) {
-	if !work.GetSuspect() || !finish.GetComplete() {
+	if !finish.GetComplete() {
+		return
+	}
+	s.culprits.Acquit(mtprompt.Components(work))
+	if !work.GetSuspect() {
 		return
 	}
 	s.poison.Clear(work.GetPrint())
