--- a/internal/request/mtcrash/culprits.go
+++ b/internal/request/mtcrash/culprits.go
@@ -29,9 +29,9 @@
 		open := slices.DeleteFunc(slices.Clone(s.crashes), func(r *record) bool { return hasOther(explained[r], s.name) })
 		set := []mtcomponent.Component{s.name}
 		guilty := len(open) > 0 && convicted(s.name)
-		if !guilty && len(open) >= minCrashes {
+		if !guilty && c.successive(s.name, open) >= c.needed(s.name, open) {
 			set = c.alike(s.name, s.crashes)
-			guilty = c.successive(s.name, open) >= c.needed(s.name, open) && !rivalled(list[i+1:], s, set)
+			guilty = !rivalled(list[i+1:], s, set)
 		}
 		if !guilty && len(open) < minCrashes {
 			continue
@@ -81,17 +81,32 @@
 	return explained
 }
 
-// suspected returns what may be a culprit, those with most crashes first.
+// suspected returns what may be a culprit, those with most crashes first, and of those with as many
+// the ones first that were never answered, of which less is needed.
 func (c *Crashes) suspected(convicted func(mtcomponent.Component) bool) []suspect {
-	var list []suspect
-	for name, count := range c.count {
-		if count < minCrashes && !convicted(name) {
-			continue
+	against := map[mtcomponent.Component][]*record{}
+	for _, r := range c.sorted() {
+		for name := range r.sent {
+			if (c.count[name] >= minCrashes || convicted(name)) && c.suspects(r, name) {
+				against[name] = append(against[name], r)
+			}
 		}
-		list = append(list, suspect{name, c.against(name)})
+	}
+	list := make([]suspect, 0, len(against))
+	for name, crashes := range against {
+		list = append(list, suspect{name, crashes})
 	}
 	slices.SortFunc(list, func(x, y suspect) int {
-		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(x.name, y.name))
+		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(c.least(x.name), c.least(y.name)), cmp.Compare(x.name, y.name))
+	})
+	return list
+}
+
+// sorted returns the crashes that count already, in their order.
+func (c *Crashes) sorted() []*record {
+	list := slices.DeleteFunc(slices.Clone(c.records), func(r *record) bool { return r.void || !r.settled() })
+	slices.SortFunc(list, func(x, y *record) int {
+		return cmp.Or(x.at.Compare(y.at), cmp.Compare(x.target, y.target))
 	})
 	return list
 }
@@ -103,12 +118,20 @@
 
 func (r *record) settled() bool { return time.Since(r.heardAt) >= settleTime }
 
+// least returns how many crashes in succession make a culprit of a component where there were no
+// others.
+func (c *Crashes) least(name mtcomponent.Component) int {
+	if _, answered := c.acquitted[name]; answered {
+		return minCrashes + answeredCrashes
+	}
+	return minCrashes
+}
+
 // needed returns how many crashes in succession make a culprit of a component that was at some
 // crashes. The more others there were since the first of them, the more of its own are chance.
 func (c *Crashes) needed(name mtcomponent.Component, crashes []*record) int {
-	least := minCrashes
-	if _, answered := c.acquitted[name]; answered {
-		least += answeredCrashes
+	if len(crashes) < minCrashes {
+		return minCrashes
 	}
 	others := -len(crashes)
 	for _, r := range c.records {
@@ -116,31 +139,20 @@
 			others++
 		}
 	}
-	const othersPerCrash = 2 // as a power of two: each fourfold number of others takes one more.
-	return min(maxCrashesNeeded, least+(bits.Len(uint(max(0, others)))+othersPerCrash-1)/othersPerCrash)
+	// One crash more for each fourfold number of others.
+	const othersBits = 2
+	return min(maxCrashesNeeded, c.least(name)+(bits.Len(uint(max(0, others)))+othersBits-1)/othersBits)
 }
 
 // Targets returns those that crashed under a set of components.
 func (c *Crashes) Targets(set []mtcomponent.Component) []string {
 	var targets []string
-	for _, r := range c.against(set[0]) {
-		targets = append(targets, r.target)
-	}
-	return targets
-}
-
-// against returns the crashes that count against a component, in their order.
-func (c *Crashes) against(name mtcomponent.Component) []*record {
-	var list []*record
-	for _, r := range c.records {
-		if r.settled() && c.suspects(r, name) {
-			list = append(list, r)
+	for _, r := range c.sorted() {
+		if c.suspects(r, set[0]) {
+			targets = append(targets, r.target)
 		}
 	}
-	slices.SortFunc(list, func(x, y *record) int {
-		return cmp.Or(x.at.Compare(y.at), cmp.Compare(x.target, y.target))
-	})
-	return list
+	return targets
 }
 
 // successive counts the crashes of requests that were sent after the one before. Targets that
--- a/internal/request/mtculprit/culprits.go
+++ b/internal/request/mtculprit/culprits.go
@@ -21,8 +21,10 @@
 
 const (
 	// updateInterval is the least time between two searches for culprits: a crash is reported
-	// once for each request that ran.
+	// once for each request that ran. updateShare bounds the share of the time that they take, one
+	// in so many.
 	updateInterval = 10 * time.Millisecond
+	updateShare    = 20
 	// maxAnswered bounds the components of one request for which its answer speaks, maxSuspected
 	// those against which its crash counts: a caller may name any number of parts.
 	maxAnswered  = 1024
@@ -41,9 +43,10 @@
 	mu      sync.Mutex
 	crashes *mtcrash.Crashes
 	bans    *mtban.Bans
-	// outdated is set if something has changed since the last search for culprits, at updatedAt.
-	outdated  bool
-	updatedAt time.Time
+	// outdated is set if something has changed since the last search for culprits; the next one
+	// is at updateAt at the earliest.
+	outdated bool
+	updateAt time.Time
 	// banned and lifted are the changes that were not returned yet.
 	banned, lifted []*fleetv1.Ban
 }
@@ -231,10 +234,12 @@
 
 // update searches for culprits if something has changed. The caller holds the lock.
 func (c *Culprits) update() {
-	if !c.outdated || time.Since(c.updatedAt) < updateInterval {
+	begun := time.Now()
+	if !c.outdated || begun.Before(c.updateAt) {
 		return
 	}
-	c.outdated, c.updatedAt = !c.crashes.Settled(), time.Now()
+	defer func() { c.updateAt = begun.Add(max(updateInterval, updateShare*time.Since(begun))) }()
+	c.outdated = !c.crashes.Settled()
 	for _, set := range c.crashes.Culprits(c.bans.Among, c.bans.Convicted) {
 		if targets := c.crashes.Targets(set); c.bans.Add(set, targets) {
 			names := make([]uint64, 0, len(set))
