Try no ban of a whole request

Found by TestRequestThatCrashesTargets, which failed (one answer 502 for 503): the request that is sent again and again was half of that entry's traffic, so that its ban was tried, and an engine crashed. A trial guards against a ban of what most requests share; one request as a whole is none.

--- a/internal/relay/mtfront/bans.go
+++ b/internal/relay/mtfront/bans.go
@@ -34,6 +34,7 @@
 		case <-time.After(banTime):
 		}
 		f.culprits.Expire()
+		f.logBans("own")
 		if !f.first() {
 			continue
 		}
--- a/internal/request/mtban/bans.go
+++ b/internal/request/mtban/bans.go
@@ -173,12 +173,16 @@
 	return nil
 }
 
-// Try reports whether a request that is refused may run as a trial of its ban.
+// Try reports whether a request that is refused may run as a trial of its ban. Bans of one request
+// as a whole are not tried.
 func (b *Bans) Try(components []mtcomponent.Component) bool {
 	known := b.match(components)
 	if known == nil {
 		return true
 	}
+	if known.set[0].IsWhole() {
+		return false
+	}
 	seen := b.seen - known.seenBefore
 	last := known.triedAt
 	if last.IsZero() {
--- a/internal/request/mtban/bans_test.go
+++ b/internal/request/mtban/bans_test.go
@@ -182,5 +182,12 @@
 			g.Expect(started.Try(parts(1))).To(BeFalse())
 		}
 		g.Expect(b.Try(parts(3))).To(BeTrue())
+		whole := []mtcomponent.Component{mtcomponent.Whole([]byte("x"))}
+		b.Add(whole, nil)
+		for range 100 {
+			time.Sleep(time.Second)
+			g.Expect(b.Match(whole)).NotTo(BeNil())
+			g.Expect(b.Try(whole)).To(BeFalse())
+		}
 	})
 }
