Promise refused callers a time at which their requests go first

Cause: a caller refused for overload was told a random time by the length of the queue. When it returned it was refused like any other, unless so little of its time was left that it was taken for a retry.

Change: where a model service has background work, an entry books a slot of 50 ms for each refused caller (mtschedule), by the rate at which responses to its class of requests have begun. Half of the rate is booked, so that new requests keep the other half. The promise is kept at the entry and at two sidecars by the hash of the request (mtpromise, Call.promises). An entry that would refuse a request looks its promise up there (Call.claim, Word.claimed) and admits it, if its estimate is within its deadline. A promise is taken once: of two sidecars the one preferred by the hash decides. Services without background work are admitted as before.

--- a/internal/admission/mtshed/shed.go
+++ b/internal/admission/mtshed/shed.go
@@ -66,7 +66,8 @@
 // DecideRanked is Decide for a service that admits requests by rank. estimate leaves out the less
 // urgent work that the request overtakes, so that a long one means that the targets are full of
 // work as urgent. Requests that are no background work are rejected only if they can't be answered
-// before their deadline.
+// before their deadline. A timeout of 0 leaves out the rule by which a request with little time left
+// counts as a retry.
 func DecideRanked(background bool, estimate, wait, aim, left, timeout time.Duration) Decision {
 	switch {
 	case estimate > left:
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtpromise"
 	"github.com/mustardtide/mustardtide/internal/members/mtentries"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/observe/mttrail"
@@ -63,6 +64,8 @@
 	directory *mtdirectory.Directory
 	// origins are the stream origins that this sidecar stores.
 	origins *mtorigin.Origins
+	// promises are those made to refused callers that this sidecar keeps.
+	promises *mtpromise.Table
 	// target is the engine's id as the entries know it.
 	target string
 	report *fleetv1.Report
@@ -92,6 +95,7 @@
 		held:      mtheld.New(),
 		directory: mtdirectory.New(),
 		origins:   mtorigin.New(),
+		promises:  mtpromise.New(),
 		report:    &fleetv1.Report{},
 		failed:    lostAfter,
 	}
--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -33,6 +33,14 @@
 	case *fleetv1.Call_Lookup:
 		found := &fleetv1.Found{Ask: c.Lookup.GetAsk(), Origin: s.origins.Find(c.Lookup.GetStream())}
 		s.words.Send(from, &fleetv1.Word{Word: &fleetv1.Word_Found{Found: found}})
+	case *fleetv1.Call_Promises:
+		for _, promise := range c.Promises.GetPromises() {
+			if !s.promises.Add(promise) {
+				s.trail.Metrics().Add("promises_dropped_total", 1)
+			}
+		}
+	case *fleetv1.Call_Claim:
+		s.words.Send(from, &fleetv1.Word{Word: &fleetv1.Word_Claimed{Claimed: s.promises.Claim(c.Claim)}})
 	case *fleetv1.Call_Seek:
 		s.words.Send(from, &fleetv1.Word{Word: &fleetv1.Word_Sought{Sought: s.directory.Lookup(c.Seek)}})
 	}
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -19,6 +19,7 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtclosing"
 	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
 	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
+	"github.com/mustardtide/mustardtide/internal/admission/mtpromise"
 	"github.com/mustardtide/mustardtide/internal/admission/mtquota"
 	"github.com/mustardtide/mustardtide/internal/admission/mtstart"
 	"github.com/mustardtide/mustardtide/internal/members/mtbuilds"
@@ -111,9 +112,14 @@
 
 	histograms sync.Map
 	// without is what is left out to be measured.
-	without struct{ shedding, repeats, level bool }
+	without struct{ shedding, repeats, level, promises bool }
 
 	levels levels
+	// schedules say when refused callers should return, promises are those kept here, claims the
+	// lookups of promises in progress.
+	schedules schedules
+	promises  *mtpromise.Table
+	claims    claims
 
 	// culprits are what requests crash targets; crashTold is when a digest went out last for
 	// news of that, as a time since begun.
@@ -141,6 +147,7 @@
 		directory:  mtdirectory.New(),
 		origins:    mtorigin.New(),
 		builds:     mtbuilds.New(),
+		promises:   mtpromise.New(),
 		quota:      mtquota.New(socket.Address(), site.GetBounds()),
 		allocator:  mtallocator.New(site.GetBounds()),
 		limits:     limits,
@@ -177,11 +184,13 @@
 			f.without.repeats = true
 		case "level":
 			f.without.level = true
+		case "promises":
+			f.without.promises = true
 		default:
 			rest = append(rest, name)
 		}
 	}
-	return trace.Wrap(f.board.Disable(rest...), "besides shedding, repeats and level")
+	return trace.Wrap(f.board.Disable(rest...), "besides shedding, repeats, level and promises")
 }
 
 // Run follows the store and speaks with the sidecars until ctx ends.
@@ -283,6 +292,7 @@
 		return int64(bans)
 	})
 	set.Gauge("origins_kept", func() int64 { return int64(f.origins.Len()) })
+	set.Gauge("promises_kept", func() int64 { return int64(f.promises.Len()) })
 	set.Gauge("peers_live", func() int64 { return int64(len(f.peers.list())) })
 	set.Gauge("entries_counted", func() int64 { return int64(f.entries()) })
 	set.Gauge("store_followed", func() int64 {
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -211,6 +211,8 @@
 		f.answerLookup(from, w.Lookup)
 	case *fleetv1.Word_Found:
 		f.lookups.take(from, w.Found)
+	case *fleetv1.Word_Claimed:
+		f.claims.take(from, w.Claimed)
 	case *fleetv1.Word_Draw:
 		f.drawn(from, w.Draw)
 	case *fleetv1.Word_Grant:
--- a/internal/relay/mtfront/keeper.go
+++ b/internal/relay/mtfront/keeper.go
@@ -37,6 +37,10 @@
 		call.Call = &fleetv1.Call_Origins{Origins: m}
 	case *fleetv1.Lookup:
 		call.Call = &fleetv1.Call_Lookup{Lookup: m}
+	case *fleetv1.Promises:
+		call.Call = &fleetv1.Call_Promises{Promises: m}
+	case *fleetv1.Claim:
+		call.Call = &fleetv1.Call_Claim{Claim: m}
 	}
 	f.words.Send(k.words, call)
 }
--- a/internal/relay/mtfront/lookup.go
+++ b/internal/relay/mtfront/lookup.go
@@ -161,7 +161,7 @@
 	f := r.front
 	asked := map[string]keeper{}
 	for _, list := range [][]keeper{
-		f.originSidecars(stream, originReplicas, true), f.originSidecars(stream, originsQueried, false), f.originEntries(stream, originsQueried),
+		f.replicaSidecars(stream, originReplicas, true), f.replicaSidecars(stream, originsQueried, false), f.originEntries(stream, originsQueried),
 	} {
 		for _, k := range list {
 			asked[k.name()] = k
--- a/internal/relay/mtfront/origin.go
+++ b/internal/relay/mtfront/origin.go
@@ -130,7 +130,7 @@
 	batches := map[keeper][]*fleetv1.Origin{}
 	for _, r := range list {
 		for _, origin := range r.unexpiredOrigins() {
-			sidecars := f.originSidecars(origin.GetStream(), originReplicas, true)
+			sidecars := f.replicaSidecars(origin.GetStream(), originReplicas, true)
 			for _, k := range sidecars {
 				batches[k] = append(batches[k], origin)
 			}
@@ -149,10 +149,10 @@
 	}
 }
 
-// originSidecars are the sidecars that store a stream's origin.
-func (f *Front) originSidecars(stream []byte, most int, live bool) []keeper {
+// replicaSidecars are the sidecars that store what has a hash: a stream's origin, or a promise.
+func (f *Front) replicaSidecars(hash []byte, most int, live bool) []keeper {
 	var list []keeper
-	for _, address := range f.board.SidecarsOf(stream, most, live, time.Duration(f.round.Load())) {
+	for _, address := range f.board.SidecarsOf(hash, most, live, time.Duration(f.round.Load())) {
 		list = append(list, sidecarKeeper{words: mtports.SidecarWords.At(f.site, address)})
 	}
 	return list
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -81,6 +81,7 @@
 		r.first = time.Since(r.begun)
 		r.worked(choice, time.Since(sent))
 		r.observeQueue(choice, time.Since(sent))
+		r.observeBegin()
 	}
 	choice.Started(answer)
 	r.notify(choice, true)
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -77,6 +77,9 @@
 	// until they are asked for.
 	partHashes []mtcomponent.Component
 	wholeHash  mtcomponent.Component
+	// promised is what became of the lookup of a promise made to the request; nil until it is
+	// looked up.
+	promised *claimResult
 	// trial is set if the request runs though it is banned.
 	trial bool
 	// delivered is what the caller has of a stream that another target goes on
@@ -267,7 +270,7 @@
 			}
 			break
 		}
-		if r.shed(choice) {
+		if r.shed(ctx, choice) {
 			return
 		}
 		r.path.Add(mtlate.Entry, time.Since(began))
--- a/internal/relay/mtwords/words.go
+++ b/internal/relay/mtwords/words.go
@@ -84,6 +84,10 @@
 		return "origins"
 	case *fleetv1.Call_Lookup:
 		return "lookup"
+	case *fleetv1.Call_Promises:
+		return "promises"
+	case *fleetv1.Call_Claim:
+		return "claim"
 	default:
 		return "other"
 	}
@@ -110,6 +114,8 @@
 		return "lookup"
 	case *fleetv1.Word_Found:
 		return "found"
+	case *fleetv1.Word_Claimed:
+		return "claimed"
 	case *fleetv1.Word_Draw:
 		return "draw"
 	case *fleetv1.Word_Grant:
