Draw promises only after a fall of the rate over all classes

Cause: the draw after a loss of capacity compared the rate of the request's own class. It also falls where the admission level admits less of the class, which is when promises are made. Its bound of two deviations of one count took the noise of entries with 15 responses a second for a loss.

Change: the rates of all classes are compared, with a bound of three standard deviations of the difference. Small losses are not seen by small entries.

--- a/internal/admission/mtpromise/overload_test.go
+++ b/internal/admission/mtpromise/overload_test.go
@@ -93,7 +93,7 @@
 	claimed := &fleetv1.Claimed{}
 	if !admit {
 		claimed = m.sidecar.Claim(&fleetv1.Claim{Hash: hash(c.id), Service: "pool"})
-		admit = claimed.GetState() == taken && wait <= time.Until(c.until) && entry.Keep(class)
+		admit = claimed.GetState() == taken && wait <= time.Until(c.until) && entry.Keep()
 	}
 	switch {
 	case wait < queueLimit*9/10:
--- a/internal/admission/mtschedule/schedule.go
+++ b/internal/admission/mtschedule/schedule.go
@@ -40,9 +40,10 @@
 	bucketTime  = 500 * time.Millisecond
 	bucketCount = 8
 	rateBuckets = bucketCount / 2
-	// deviations is by how many standard deviations of the count the rate must have fallen to
-	// count as a loss of capacity: small entries begin some three responses in a second.
-	deviations = 2
+	// deviations is by how many standard deviations of the two counts' difference the rate must have
+	// fallen to count as a loss of capacity: small entries begin some three responses in a second.
+	// Two of the first count took the noise of entries with 15 responses a second for a loss.
+	deviations = 3
 )
 
 // Schedule is one entry's schedule of one service. It is not safe for concurrent use.
@@ -96,12 +97,17 @@
 // Again returns the time until a moment in the slot of a window that opens after a time.
 func Again(opens time.Duration) time.Duration { return opens + earlyTime + rand.N(slotTime) }
 
-// Keep draws whether a booking of a class is kept. It always is unless the rate has fallen, as
-// after a loss of targets: then as large a part of the bookings is kept as is left of the rate.
-func (s *Schedule) Keep(of int32) bool {
-	c := s.class(of)
-	before, now := float64(c.sum(bucketCount, rateBuckets)), float64(c.sum(rateBuckets, 0))
-	if now >= before-deviations*math.Sqrt(before) {
+// Keep draws whether a booking is kept. It always is unless the rate of all classes together has
+// fallen, as after a loss of targets: then as large a part of the bookings is kept as is left of
+// the rate. That of one class also falls where fewer of its requests are admitted.
+func (s *Schedule) Keep() bool {
+	before, now := 0.0, 0.0
+	for of := range s.classes {
+		c := s.class(of)
+		before += float64(c.sum(bucketCount, rateBuckets))
+		now += float64(c.sum(rateBuckets, 0))
+	}
+	if now >= before-deviations*math.Sqrt(before+now) {
 		return true
 	}
 	return rand.Float64()*before < now
--- a/internal/admission/mtschedule/schedule_test.go
+++ b/internal/admission/mtschedule/schedule_test.go
@@ -11,7 +11,10 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtschedule"
 )
 
-const background = 3
+const (
+	urgent     = 0
+	background = 3
+)
 
 // begin lets responses begin at a rate for a time.
 func begin(s *mtschedule.Schedule, perSecond int, d time.Duration) {
@@ -72,7 +75,7 @@
 		keep := func(s *mtschedule.Schedule) int {
 			kept := 0
 			for range 1000 {
-				if s.Keep(background) {
+				if s.Keep() {
 					kept++
 				}
 			}
@@ -83,6 +86,13 @@
 		g.Expect(keep(s)).To(Equal(1000))
 		begin(s, 25, 2*time.Second)
 		g.Expect(keep(s)).To(And(BeNumerically(">", 150), BeNumerically("<", 400)))
+		shifted := mtschedule.New()
+		begin(shifted, 100, 4*time.Second)
+		for range 200 {
+			time.Sleep(10 * time.Millisecond)
+			shifted.Begin(urgent)
+		}
+		g.Expect(keep(shifted)).To(Equal(1000), "fewer of the class are admitted, and more of another")
 		small := mtschedule.New()
 		begin(small, 3, 4*time.Second)
 		time.Sleep(600 * time.Millisecond)
--- a/internal/relay/mtfront/promise.go
+++ b/internal/relay/mtfront/promise.go
@@ -204,7 +204,7 @@
 	}
 	result.judged, result.kept = true, fits
 	if fits {
-		r.front.schedules.use(r.service.GetName(), func(s *mtschedule.Schedule) { result.kept = s.Keep(r.class()) })
+		r.front.schedules.use(r.service.GetName(), func(s *mtschedule.Schedule) { result.kept = s.Keep() })
 	}
 	kind, metric := mtkind.PromiseClaimed, "promises_claimed_total"
 	if !result.kept {
