Condense the test of which sidecar decides on a claim

Cause: the test held more lines than its cases need.

Change: the same cases and expectations in fewer lines.

Measured: the package's tests passed with the race detector.

--- a/internal/relay/mtfront/promise_test.go
+++ b/internal/relay/mtfront/promise_test.go
@@ -21,11 +21,10 @@
 		state fleetv1.ClaimState
 	}
 	for _, c := range []struct {
-		name     string
-		answers  []answer
-		state    fleetv1.ClaimState
-		settled  bool
-		answered bool
+		name              string
+		answers           []answer
+		state             fleetv1.ClaimState
+		settled, answered bool
 	}{
 		{"none answers", nil, unknown, false, false},
 		{"another answers", []answer{{"third", taken}}, unknown, false, false},
@@ -43,16 +42,11 @@
 			for _, a := range c.answers {
 				all.take(a.from, &fleetv1.Claimed{Ask: number, State: a.state})
 			}
-			settled := false
-			select {
-			case <-lookup.done:
-				settled = true
-			default:
-			}
+			settled, _ := BeClosed().Match(lookup.done)
+			g.Expect(settled).To(Equal(c.settled))
 			result := all.end(number)
 			g.Expect(result.state).To(Equal(c.state))
 			g.Expect(result.answered).To(Equal(c.answered))
-			g.Expect(settled).To(Equal(c.settled))
 			all.take("first", &fleetv1.Claimed{Ask: number, State: taken})
 			g.Expect(all.open).To(BeEmpty())
 		})
