Cut responses that are malformed without end

Cause: an engine that sends bytes which are no response was read until the request's time was over. A head was read into memory without a limit, a stream without events was passed on or held, a plain body without a length had no limit, and the body of a refusal that nobody gets held its request. New tests with a stand-in that writes until its reader leaves failed: 504 at the deadline in place of 502, 1 MB of a head taken, streams held for their 6 s, no second target tried.

Change: - mtlink limits the heads read for one response, interim and skipped ones included, to 64 KB, and each head to 512 lines, as short lines take far more memory parsed than sent. A connection with bytes after its response is reset, not closed. - mtpatience (new, no network) holds the bounds of a stream: a whole event every 256 KB, and within 2 s, four objectives or eight allowed gaps. Time in which the caller is written to does not count. mtfront cuts a stream by it with a read deadline, with one short look more for bytes that arrived while the process did not run. - A plain body without a length is limited to 64 MB. Reading the first 256 KB of a plain body, and holding an open event, no longer keep two buffers of that size while they grow. - The rest of a response that nobody gets is read for at most 200 ms. - A bound that was passed is a failure of the target, no crash: the request is not suspected. - Probe and store client: the head as above (store: MaxResponseHeaderBytes), an answer over the limit is an error, where it was cut to the limit. - Field `bound` in request-done, request-failed and send-lost, sign `bound`, metric responses_cut_total. - mtlink resets any connection that has SetLinger, so that resets show on the network in memory too.

Measured: the new tests in mtground, mtlink, mtprobe, mtobjects and mtpatience pass with -race -cpu 1 (mtground 57 s), well-formed long and slow responses among them; the tests of mtground on broken, resumed, crashed and slow answers pass as before (114 s). No load was run.

--- a/internal/relay/mtfront/deliver.go
+++ b/internal/relay/mtfront/deliver.go
@@ -24,8 +24,10 @@
 	wholeBody = 256 << 10
 	// copySize is how much of a stream is passed on at once.
 	copySize = 16 << 10
-	// drainBody bounds what is read of an answer that nobody gets.
+	// drainBody and drainTime bound what is read of an answer that nobody gets: its request waits
+	// meanwhile.
 	drainBody = 64 << 10
+	drainTime = 200 * time.Millisecond
 )
 
 // deliver passes an answer on.
@@ -37,8 +39,8 @@
 		return broken{why: "a success without the target's seal"}
 	}
 	if r.delivered != nil && !success {
-		drain(response)
-		link.Release(answer.GetIdle().AsDuration())
+		drain(link, response)
+		r.release(link, answer)
 		choice.End(mtboard.Failed{})
 		return broken{why: "the resumed stream got " + response.Status}
 	}
@@ -58,7 +60,8 @@
 
 // whole reads a plain answer to its end and then passes it on.
 func (r *request) whole(ctx context.Context, choice *mtboard.Choice, link *mtlink.Link, response *http.Response, answer *fleetv1.Answer) result {
-	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBody))
+	r.patience = nil
+	body, err := readHeld(response)
 	if len(body) > 0 {
 		r.bodyAt = time.Now()
 	}
@@ -77,7 +80,7 @@
 		choice.End(mtboard.Failed{})
 		if r.route.GetRepeat() == fleetv1.Repeat_REPEAT_SAFE && r.tries < int(r.route.GetAttempts()) &&
 			r.front.allowance(r.service.GetName()).Remaining(r.front.entries()) >= 1 {
-			link.Release(answer.GetIdle().AsDuration())
+			r.release(link, answer)
 			return broken{why: "the target failed it: " + response.Status}
 		}
 	}
@@ -93,14 +96,15 @@
 	err = r.writeBody(body)
 	if err == nil && !ended {
 		var more int
-		more, err = r.copyEvents(response.Body, func() {})
+		r.room = plainRoom(response)
+		more, err = r.copyEvents(link, response.Body, func() {})
 		size += more
 	}
 	if err != nil {
 		return r.cut(ctx, choice, link, err)
 	}
 	choice.End(mtboard.Succeeded{})
-	link.Release(answer.GetIdle().AsDuration())
+	r.release(link, answer)
 	r.done(response.StatusCode, choice, size)
 	return answered{}
 }
@@ -123,7 +127,7 @@
 
 // cut ends an answer whose head the caller has, so that it does not look whole.
 func (r *request) cut(ctx context.Context, choice *mtboard.Choice, link *mtlink.Link, err error) result {
-	r.endBroken(ctx, choice, link)
+	r.endBroken(ctx, choice, link, err)
 	r.front.trail.Warn(mtkind.RequestFailed, append(r.fields(), append(r.ended(), zap.String("target", choice.Target()),
 		zap.String("why", "the answer broke off: "+err.Error()))...)...)
 	r.abort()
@@ -148,21 +152,31 @@
 // judgeEnd counts the end of an answer that was read until an error, and returns nil where it
 // is whole.
 func (r *request) judgeEnd(err error) error {
+	passed := boundOf(err) != ""
 	err = r.ending.End(err)
+	if passed {
+		r.ending.Cut()
+	}
 	r.front.trail.Metrics().Add(`answers_ended_total{framing="`+r.ending.Framing()+`",sign="`+r.ending.Sign()+`"}`, 1)
 	return err
 }
 
-// ended says how the last answer was framed, and what showed that it was broken off.
+// ended says how the last answer was framed, what showed that it was broken off, and which bound
+// it passed.
 func (r *request) ended() []zap.Field {
-	if r.ending == nil {
-		return nil
+	var fields []zap.Field
+	if r.ending != nil {
+		fields = append(fields, zap.String("framing", r.ending.Framing()), zap.String("sign", r.ending.Sign()))
+	}
+	if r.bound != "" {
+		fields = append(fields, zap.String("bound", r.bound))
 	}
-	return []zap.Field{zap.String("framing", r.ending.Framing()), zap.String("sign", r.ending.Sign())}
+	return fields
 }
 
 // drain reads an answer that nobody gets, so that its connection can be kept.
-func drain(response *http.Response) {
+func drain(link *mtlink.Link, response *http.Response) {
+	link.Within(drainTime)
 	// What is left unread shows when the connection is released.
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, drainBody))
 }
--- a/internal/relay/mtfront/refuse.go
+++ b/internal/relay/mtfront/refuse.go
@@ -68,7 +68,7 @@
 	if !time.Now().Before(r.until) {
 		status = http.StatusGatewayTimeout
 	}
-	r.front.trail.Warn(mtkind.RequestFailed, append(r.fields(), zap.String("why", why), zap.Int("status", status))...)
+	r.front.trail.Warn(mtkind.RequestFailed, append(r.fields(), append(r.ended(), zap.String("why", why), zap.Int("status", status))...)...)
 	r.write(status, why)
 }
 
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -48,7 +48,7 @@
 	}
 	r.tries++
 	r.paid = false
-	r.ending = nil
+	r.ending, r.bound = nil, ""
 	r.logSent(choice, link)
 	r.notify(choice, false)
 	// The connection ends with the caller and with the request's time: the target
@@ -72,8 +72,8 @@
 	r.alive(choice, answer, sent)
 	if answer.GetRefused() {
 		r.mayHaveRun = before
-		drain(response)
-		link.Release(answer.GetIdle().AsDuration())
+		drain(link, response)
+		r.release(link, answer)
 		choice.End(mtboard.Rejected{Answer: answer})
 		return rejected{why: "the target did not run it: " + response.Status}
 	}
@@ -184,7 +184,7 @@
 
 // lost ends a send whose connection failed: the request may have run.
 func (r *request) lost(ctx context.Context, choice *mtboard.Choice, link *mtlink.Link, err error) result {
-	r.endBroken(ctx, choice, link)
+	r.endBroken(ctx, choice, link, err)
 	if ctx.Err() != nil {
 		return broken{why: "ended at the target: " + ctx.Err().Error()}
 	}
@@ -192,15 +192,19 @@
 }
 
 // endBroken closes a connection whose answer did not come to its end, and blames
-// the target unless the caller or the request's time ended it.
-func (r *request) endBroken(ctx context.Context, choice *mtboard.Choice, link *mtlink.Link) {
+// the target unless the caller or the request's time ended it. A bound that was passed is no
+// crash, so that the request is not suspected.
+func (r *request) endBroken(ctx context.Context, choice *mtboard.Choice, link *mtlink.Link, err error) {
 	link.Close()
+	r.noteBound(ctx, err)
 	if ctx.Err() != nil {
 		choice.End(mtboard.Abandoned{})
 		return
 	}
 	choice.End(mtboard.Failed{})
-	r.broke(choice)
+	if r.bound == "" {
+		r.broke(choice)
+	}
 }
 
 // notify tells the sidecar, and the keepers of the prompt's shared parts, what the
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -18,6 +18,7 @@
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/request/mtcomponent"
 	"github.com/mustardtide/mustardtide/internal/request/mtending"
+	"github.com/mustardtide/mustardtide/internal/request/mtpatience"
 	"github.com/mustardtide/mustardtide/internal/request/mtresume"
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
 	"github.com/mustardtide/mustardtide/platform/mtspeech"
@@ -70,6 +71,12 @@
 	mayHaveRun bool
 	// ending judges the end of the last answer.
 	ending *mtending.Ending
+	// patience bounds the stream that is passed on, nil where the answer is none; room is how many
+	// bytes a plain answer may still have. bound names the bound that the last answer passed, ""
+	// for none.
+	patience *mtpatience.Patience
+	room     int
+	bound    string
 	// sentAt is when the last target got the request, bodyAt when the first of its answer's body
 	// came, zero before.
 	sentAt, bodyAt time.Time
--- a/internal/relay/mtfront/stream.go
+++ b/internal/relay/mtfront/stream.go
@@ -10,6 +10,7 @@
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
+	"github.com/mustardtide/mustardtide/internal/request/mtpatience"
 	"github.com/mustardtide/mustardtide/internal/request/mtresume"
 )
 
@@ -23,7 +24,8 @@
 		}
 		r.out.WriteHeader(response.StatusCode)
 	}
-	count, err := r.copyEvents(response.Body, func() { r.pinBuild(choice, answer) })
+	r.patience = mtpatience.New(r.route.GetAim().AsDuration(), r.route.GetGap().AsDuration())
+	count, err := r.copyEvents(link, response.Body, func() { r.pinBuild(choice, answer) })
 	r.observePause()
 	var gone *callerError
 	switch {
@@ -32,13 +34,13 @@
 	case err != nil && r.in.Context().Err() != nil:
 		r.abandon(choice, link, "the caller closed its connection")
 	case err != nil && ctx.Err() == nil && r.delivered != nil && r.delivered.Possible():
-		r.endBroken(ctx, choice, link)
+		r.endBroken(ctx, choice, link, err)
 		return broken{why: "the stream broke off: " + err.Error()}
 	case err != nil:
 		return r.cut(ctx, choice, link, err)
 	}
 	choice.End(mtboard.Succeeded{})
-	link.Release(answer.GetIdle().AsDuration())
+	r.release(link, answer)
 	r.done(response.StatusCode, choice, count)
 	return answered{}
 }
@@ -77,8 +79,8 @@
 
 // copyEvents passes bytes on as they come; of a resumable stream only whole
 // events, so that another target can go on after the last of them. It calls open before it
-// passes any on.
-func (r *request) copyEvents(from io.Reader, open func()) (int, error) {
+// passes any on. What comes with the bytes that pass a bound is not passed on.
+func (r *request) copyEvents(link *mtlink.Link, from io.Reader, open func()) (int, error) {
 	buffer := make([]byte, copySize)
 	if r.delivered != nil {
 		r.delivered.Begin()
@@ -86,14 +88,19 @@
 	count := 0
 	last := time.Now()
 	for {
-		n, err := from.Read(buffer)
+		asked := time.Now()
+		n, err := r.read(link, from, buffer)
 		r.pause = max(r.pause, time.Since(last))
 		last = time.Now()
 		chunk := buffer[:n]
 		if n > 0 && r.bodyAt.IsZero() {
 			r.bodyAt = last
 		}
+		events := r.ending.Events()
 		closed := r.ending.Take(chunk)
+		if passed := r.bounded(last.Sub(asked), n, r.ending.Events() > events, n-closed); passed != nil {
+			return count, r.judgeEnd(passed)
+		}
 		if r.delivered != nil {
 			chunk = r.delivered.Take(chunk, closed)
 		}
--- a/internal/relay/mtlink/link.go
+++ b/internal/relay/mtlink/link.go
@@ -34,6 +34,7 @@
 	pool    *Pool
 	address string
 	conn    net.Conn
+	source  *source
 	reader  *bufio.Reader
 	expires time.Time
 	reused  bool
@@ -63,7 +64,8 @@
 }
 
 func newLink(pool *Pool, address string, conn net.Conn) *Link {
-	return &Link{pool: pool, address: address, conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}
+	from := &source{conn: conn}
+	return &Link{pool: pool, address: address, conn: conn, source: from, reader: bufio.NewReaderSize(from, bufferSize)}
 }
 
 // Reused reports whether the connection has carried a request before.
@@ -99,9 +101,11 @@
 
 // Receive reads the head of the response for which matches returns true. A target may send
 // a late second response to an earlier request where the next one is expected: it
-// belongs to no request and is skipped.
+// belongs to no request and is skipped. The heads of all responses that are read together are
+// limited to maxHead; the error is ErrHead beyond.
 func (l *Link) Receive(method string, matches func(*http.Response) bool) (*http.Response, error) {
 	request := &http.Request{Method: method}
+	l.source.left = maxHead
 	for range maxStrayResponses {
 		response, err := l.readHead(request)
 		if err != nil {
@@ -123,8 +127,18 @@
 
 // readHead reads the next response head that is not an interim response.
 func (l *Link) readHead(request *http.Request) (*http.Response, error) {
+	l.source.inHead = true
+	l.source.left -= l.reader.Buffered()
+	defer func() {
+		l.source.inHead = false
+		l.source.left += l.reader.Buffered()
+	}()
 	for {
+		l.source.lines = 0
 		response, err := http.ReadResponse(l.reader, request)
+		if l.source.passed {
+			return nil, trace.Wrap(ErrHead)
+		}
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
@@ -139,13 +153,25 @@
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
+// Within lets what is read next of the response take at most a time, after which reading fails
+// with os.ErrDeadlineExceeded. Release ends the limit.
+func (l *Link) Within(d time.Duration) {
+	// On an error the connection is closed, which the next read reports.
+	_ = l.conn.SetReadDeadline(time.Now().Add(d))
+}
+
+// Excess reports whether bytes were received after the whole response.
+func (l *Link) Excess() bool {
+	return l.body != nil && l.body.complete && l.reader.Buffered() > 0
+}
+
 // Release returns the connection to the pool if no data is left on it, and closes it
 // otherwise. idle is how long the target keeps idle connections, 0 if unknown.
 func (l *Link) Release(idle time.Duration) {
-	if l.body != nil && l.body.complete {
+	if l.body != nil && l.body.complete && !l.Excess() {
 		l.unfinished.Store(false)
 	}
-	if !l.finished() {
+	if !l.finished() || l.conn.SetReadDeadline(time.Time{}) != nil {
 		l.Close()
 		return
 	}
@@ -182,14 +208,14 @@
 }
 
 // Close closes the connection, which cancels its request at most targets. A connection
-// with an unfinished response is reset: a target that was suspended, as on a frozen
+// with an unfinished response, or with bytes after it, is reset: a target that was suspended, as on a frozen
 // instance, would otherwise find the request in its buffers on resuming and run it
 // although no caller is left.
 func (l *Link) Close() {
 	if !l.closed.CompareAndSwap(false, true) {
 		return
 	}
-	if conn, ok := l.conn.(*net.TCPConn); ok && l.unfinished.Load() {
+	if conn, ok := l.conn.(interface{ SetLinger(seconds int) error }); ok && l.unfinished.Load() {
 		// On an error the connection closes normally; nothing else depends on the reset.
 		_ = conn.SetLinger(0)
 	}
@@ -213,8 +239,11 @@
 	quiet := false
 	err = raw.Control(func(fd uintptr) {
 		var buf [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, recvErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(recvErr, syscall.EAGAIN)
+		if n > 0 {
+			l.unfinished.Store(true)
+		}
 	})
 	return err == nil && quiet
 }
--- a/internal/relay/mtlink/link_test.go
+++ b/internal/relay/mtlink/link_test.go
@@ -253,3 +253,36 @@
 		})
 	}
 }
+
+// Failure: a target sends heads without end, and they are read into memory. All that is read
+// before the response to a request counts together.
+func TestHeadsAreLimited(t *testing.T) {
+	stray := func(filler int) string {
+		return "HTTP/1.1 200 OK\r\nId: 0\r\nX-Filler: " + strings.Repeat("a", filler) + "\r\nContent-Length: 3\r\n\r\nold"
+	}
+	interim := "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	for name, c := range map[string]struct {
+		response string
+		limited  bool
+	}{
+		"a long head":           {"HTTP/1.1 200 OK\r\nX-Filler: " + strings.Repeat("a", 60<<10) + "\r\nId: 1\r\nContent-Length: 3\r\n\r\none", false},
+		"a head that is longer": {"HTTP/1.1 200 OK\r\nX-Filler: " + strings.Repeat("a", 64<<10) + "\r\nId: 1\r\nContent-Length: 3\r\n\r\none", true},
+		"many lines":            {"HTTP/1.1 200 OK\r\n" + strings.Repeat("a: b\r\n", 500) + "Id: 1\r\nContent-Length: 3\r\n\r\none", false},
+		"too many lines":        {"HTTP/1.1 200 OK\r\n" + strings.Repeat("a: b\r\n", 2000) + "Id: 1\r\nContent-Length: 3\r\n\r\none", true},
+		"interim":               {strings.Repeat(interim, 1000) + okResponse("1", "one"), false},
+		"too many interim":      {strings.Repeat(interim, 2000) + okResponse("1", "one"), true},
+		"a stray":               {stray(40<<10) + okResponse("1", "one"), false},
+		"two strays":            {stray(40<<10) + stray(40<<10) + okResponse("1", "one"), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newTarget(t)
+			o.accept(c.response)
+			body, err := o.exchange("1")
+			if c.limited {
+				o.g.Expect(err).To(MatchError(mtlink.ErrHead))
+				return
+			}
+			o.g.Expect(body, err).To(Equal("one"))
+		})
+	}
+}
--- a/internal/relay/mtprobe/probe.go
+++ b/internal/relay/mtprobe/probe.go
@@ -23,7 +23,8 @@
 // callTime bounds a call to the engine.
 const callTime = 1200 * time.Millisecond
 
-// maxReport bounds an engine's report, which lists its runs.
+// maxReport bounds an engine's answer: a report lists its runs, and cache events may be many. A
+// longer one is an error, and its connection is reset.
 const maxReport = 1 << 20
 
 // reportTime bounds the call for a report, which an engine answers from memory:
@@ -125,7 +126,10 @@
 		link.Close()
 		return 0, nil, trace.Wrap(err)
 	}
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxReport))
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxReport+1))
+	if err == nil && len(answer) > maxReport {
+		err = trace.LimitExceeded("the engine's answer is over %d bytes", maxReport)
+	}
 	if err != nil {
 		link.Close()
 		return 0, nil, trace.Wrap(err)
--- a/internal/request/mtending/ending.go
+++ b/internal/request/mtending/ending.go
@@ -27,6 +27,7 @@
 	signConnection = "connection"
 	signEvent      = "event"
 	signEmpty      = "empty"
+	signBound      = "bound"
 )
 
 // Errors of streams whose connection or framing ended in order.
@@ -87,10 +88,16 @@
 	return err
 }
 
+// Cut takes in that reading was ended as the answer passed a bound.
+func (e *Ending) Cut() { e.sign = signBound }
+
+// Events is how many events have ended.
+func (e *Ending) Events() int { return e.split.Events() }
+
 // Framing names what marks the answer's end: length, chunks or connection.
 func (e *Ending) Framing() string { return e.framing }
 
 // Sign names what showed that the answer was broken off, "" where nothing did: length or
-// chunks that did not come, a reset or another failure of the connection, an open event, or a
-// stream without any.
+// chunks that did not come, a reset or another failure of the connection, an open event, a
+// stream without any, or a bound that was passed.
 func (e *Ending) Sign() string { return e.sign }
--- a/internal/request/mtresume/resume.go
+++ b/internal/request/mtresume/resume.go
@@ -1,10 +1,19 @@
 // Package mtresume keeps what a caller has of a stream with which another target may go on.
 package mtresume
 
-import "github.com/mustardtide/mustardtide/internal/request/mtevents"
+import (
+	"slices"
 
-// maxEvent bounds in bytes what is held of one event.
-const maxEvent = 256 << 10
+	"github.com/mustardtide/mustardtide/internal/request/mtevents"
+)
+
+const (
+	// maxEvent bounds in bytes what is held of one event.
+	maxEvent = 256 << 10
+	// smallEvent is the size up to which the buffer grows step by step. Beyond it the buffer gets
+	// its full size, as each step holds the former buffer too.
+	smallEvent = 64 << 10
+)
 
 // Resume is one caller's stream over the runs that bring it. Callers get whole events only, so
 // that another run can go on after the last of them.
@@ -37,6 +46,7 @@
 	if closed > 0 {
 		r.passed = len(r.held) + closed
 	}
+	r.reserve(len(b))
 	r.held = append(r.held, b...)
 	if len(r.held)-r.passed > maxEvent {
 		r.torn, r.passed = true, len(r.held)
@@ -48,6 +58,13 @@
 	return now
 }
 
+// reserve makes room for more bytes of a long event.
+func (r *Resume) reserve(size int) {
+	if needed := len(r.held) + size; needed > smallEvent && needed > cap(r.held) {
+		r.held = slices.Grow(r.held, max(needed, maxEvent+size)-len(r.held))
+	}
+}
+
 // Last is the id of the last event that the caller has, "" for none.
 func (r *Resume) Last() string { return string(r.last) }
 
--- a/internal/role/mtnet/net.go
+++ b/internal/role/mtnet/net.go
@@ -108,6 +108,9 @@
 	return errors.As(err, &dial) && dial.Op == "dial"
 }
 
+// maxHead limits in bytes the head of a response from outside, interim responses included.
+const maxHead = 64 << 10
+
 // Outside returns the transport to targets and the platform: plain HTTP/1.1.
 func (n *Net) Outside() *http.Transport {
 	return &http.Transport{
@@ -115,5 +118,7 @@
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: idlePerHost,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHead,
 	}
 }
