Test the memory of heads with as many short lines as 64 KB hold

The comment on the limit named a wrong ratio.

Change: 10,000 lines, the right ratio, and a test of the sign `bound`.

Measured: without the limit on lines 989 KB are kept of such a head, and the test fails; with it the head is refused.

--- a/internal/relay/mtlink/memory_test.go
+++ b/internal/relay/mtlink/memory_test.go
@@ -19,7 +19,7 @@
 func TestMemoryOfAHead(t *testing.T) {
 	const links = 20
 	var short, long strings.Builder
-	for i := range 1800 {
+	for i := range 10_000 {
 		fmt.Fprintf(&short, "%x:\n", i)
 	}
 	for i := range 500 {
--- a/internal/relay/mtlink/source.go
+++ b/internal/relay/mtlink/source.go
@@ -11,7 +11,7 @@
 const (
 	// maxHead limits in bytes the heads that are read for one response, interim ones included.
 	maxHead = 64 << 10
-	// maxHeadLines limits the lines of a head: a short line takes a hundred times its bytes once
+	// maxHeadLines limits the lines of a head: a short line takes about twenty times its bytes once
 	// it is parsed. The lines of one more buffer may come with them.
 	maxHeadLines = 512
 	// lastLook is for bytes that arrived in time while the process did not run.
--- a/internal/request/mtending/ending_test.go
+++ b/internal/request/mtending/ending_test.go
@@ -93,6 +93,17 @@
 	g.Expect(closed.Sign()).To(Equal("connection"))
 }
 
+// Failure: a stream that was cut as it passed a bound counts as one whose connection failed.
+func TestSignOfABound(t *testing.T) {
+	g := NewWithT(t)
+	e := mtending.New(-1, true, true)
+	e.Take([]byte("data: a\n\ndata: b"))
+	g.Expect(e.Events()).To(Equal(1))
+	g.Expect(e.End(io.ErrClosedPipe)).To(MatchError(io.ErrClosedPipe))
+	e.Cut()
+	g.Expect(e.Sign()).To(Equal("bound"))
+}
+
 func BenchmarkTake(b *testing.B) {
 	event := []byte("id: 117\ndata: " + strings.Repeat("x", 30) + "\n\n")
 	e := mtending.New(-1, false, true)
