Let promised requests take the place of new ones

Cause: a request that returned as promised was admitted beside what the level admits, as long as it could begin before its deadline.

Change: the level counts promised requests of a class first and takes their share from the new ones, so that the sum stays; and a promise is kept only if the request is expected to begin within half of its remaining time.

TestPromisedRequestsGoFirst; tests of mtlevel and mtpromise pass.

--- a/internal/admission/mtlevel/accounts.go
+++ b/internal/admission/mtlevel/accounts.go
@@ -11,9 +11,12 @@
 	oldTotal map[int]int
 }
 
+// accountRank is the key of an account's requests of a rank. Those that return as promised are
+// counted together, for no account.
 type accountRank struct {
-	rank    int
-	account string
+	rank     int
+	account  string
+	promised bool
 }
 
 func newAccounts() accounts {
@@ -36,13 +39,25 @@
 
 // key returns the key that an account is counted under.
 func (a *accounts) key(rank int, account string) accountRank {
-	key := accountRank{rank, account}
+	key := accountRank{rank: rank, account: account}
 	if _, known := a.now[key]; !known && len(a.now) >= maxAccounts {
 		key.account = ""
 	}
 	return key
 }
 
+// promise counts a request that was counted for an account as one that returns as promised.
+func (a *accounts) promise(rank int, account string) {
+	a.now[a.key(rank, account)]--
+	a.now[accountRank{rank: rank, promised: true}]++
+}
+
+// positionPromised returns the share of the rank's requests that return as promised. They go first.
+func (a *accounts) positionPromised(rank int) float64 {
+	total := max(1, a.totals[rank]+a.oldTotal[rank])
+	return float64(a.of(accountRank{rank: rank, promised: true})) / float64(total)
+}
+
 // position returns the share of the rank's requests that came from accounts that send less than
 // this one, and this account's share.
 func (a *accounts) position(rank int, account string) (below, width float64) {
@@ -51,7 +66,7 @@
 	less := 0
 	for other := range a.now {
 		if other.rank == rank && other != key {
-			if sent := a.of(other); sent < own || sent == own && other.account < key.account {
+			if sent := a.of(other); other.promised || sent < own || sent == own && other.account < key.account {
 				less += sent
 			}
 		}
--- a/internal/admission/mtlevel/level.go
+++ b/internal/admission/mtlevel/level.go
@@ -189,6 +189,15 @@
 	return below+width*rand.Float64() < admitted || rand.Float64() < minAdmitted
 }
 
+// AdmitPromised reports whether a request is admitted that Admit has refused, if it was refused
+// before and returns when it was told to. It goes before those of its rank that come for the first
+// time, in their place: admitted on top of them, such requests would keep the service overloaded.
+func (l *Level) AdmitPromised(rank int32, account string) bool {
+	i := l.index(rank)
+	l.accounts.promise(i, account)
+	return l.accounts.positionPromised(i)*rand.Float64() < l.current()-float64(i-1)
+}
+
 // Hear takes in another entry's level.
 func (l *Level) Hear(from string, message *fleetv1.Level) {
 	level := message.GetLevel()
--- a/internal/admission/mtlevel/level_test.go
+++ b/internal/admission/mtlevel/level_test.go
@@ -242,6 +242,35 @@
 	})
 }
 
+// Load: half of the background requests return as promised, and less than all fit. Guards against
+// promises that are not kept, or that are kept on top of what is admitted anyway.
+func TestPromisedRequestsGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		l := mtlevel.New([]int32{0, 2})
+		var first, again, all int
+		for i := range 4000 {
+			time.Sleep(5 * time.Millisecond)
+			// Two windows of three are overloaded, which keeps the level at about a half.
+			if i/50%4 == 0 {
+				l.Observe(2, 3*time.Second, backgroundAim)
+			} else {
+				l.Observe(2, 0, backgroundAim)
+			}
+			all++
+			switch admitted := l.Admit(2, "a", 0); {
+			case i%2 == 0 && (admitted || l.AdmitPromised(2, "a")):
+				again++
+			case i%2 == 1 && admitted:
+				first++
+			}
+		}
+		g.Expect(2 * float64(again) / float64(all)).To(BeNumerically(">", 0.9))
+		g.Expect(float64(first+again) / float64(all)).To(BeNumerically("<", 0.95))
+		g.Expect(first).To(BeNumerically("<", again*3/4))
+	})
+}
+
 // Guards against a level out of range, or an old one, that others take over.
 func TestOddLevelsAreLeftOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/relay/mtfront/promise.go
+++ b/internal/relay/mtfront/promise.go
@@ -17,6 +17,10 @@
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
 )
 
+// promiseMargin is the part of the remaining time within which a request that returns as promised
+// must be expected to begin. In an overload, more urgent requests that come later overtake it.
+const promiseMargin = 2
+
 // promiseReplicas is how many sidecars keep a promise: one may restart or miss the datagram.
 const promiseReplicas = 2
 
@@ -198,7 +202,7 @@
 	if result.state != fleetv1.ClaimState_CLAIM_STATE_TAKEN {
 		return false
 	}
-	fits := choice.Estimate() <= time.Until(r.until)
+	fits := choice.Estimate() <= time.Until(r.until)/promiseMargin
 	if result.judged {
 		return result.kept && fits
 	}
--- a/internal/relay/mtfront/shed.go
+++ b/internal/relay/mtfront/shed.go
@@ -20,7 +20,7 @@
 		return false
 	}
 	if !r.front.without.level && !r.admitted(choice) {
-		if r.promises() && r.admittedByPromise(ctx, choice) {
+		if r.promises() && r.admittedByPromise(ctx, choice) && r.admittedAgain() {
 			return false
 		}
 		r.front.trail.Metrics().Add(`level_refused_total{route="`+r.route.GetName()+`"}`, 1)
@@ -82,6 +82,15 @@
 	r.reject("overloaded: "+why, again, fields...)
 }
 
+// admittedAgain reports whether the level admits the request as one that returns as promised.
+func (r *request) admittedAgain() bool {
+	admitted := true
+	r.front.levels.use(r.service.GetName(), func(level *mtlevel.Level) {
+		admitted = level.AdmitPromised(r.class(), r.account.GetName())
+	})
+	return admitted
+}
+
 // admitted reports whether the level of the request's service admits it.
 func (r *request) admitted(choice *mtboard.Choice) bool {
 	if !r.ranked() {
