Count crashes of targets that did not run a component for it

Cause: only the targets that ran a component counted. Where all engines of a service crashed at once while one of them ran it, the other crashes raised the number needed at most, and each further one counted against the component. Targets that only streamed answers begun a second before left no crash at all, and a crash without components was not told to other entries.

Change: a crash counts for a third if, within 100 ms, at least as many targets crashed without the component as with it. It is not left out altogether, as two deadly parts that always run at the same time at different targets would hide each other for good. Copies of a deadly request that crash several targets at once count in full. The break of a flowing answer is recorded as a crash without components, and such crashes are gossiped.

Engines that ran nothing leave no crash still.

--- a/internal/relay/mtfront/suspect.go
+++ b/internal/relay/mtfront/suspect.go
@@ -88,16 +88,20 @@
 	r.front.trail.Warn(mtkind.RequestDangerous, append(r.fields(), append(banFields(ban), zap.Strings("parts", names))...)...)
 }
 
-// broke records that a target broke off while it ran the request.
+// broke records that a target broke off while it ran the request. The end of a target that ran only
+// requests with a flowing answer counts as a crash without components: others at the same time
+// then have another cause than theirs.
 func (r *request) broke(choice *mtboard.Choice) {
 	target, born := choice.Incarnation()
 	r.front.trail.Warn(mtkind.RequestSuspected, append(r.fields(), zap.String("target", target), zap.Int64("born", born),
 		zap.Strings("parts", r.partNames()), zap.Duration("first", r.first), zap.Bool("flowing", r.flowing()))...)
+	var components []mtcomponent.Component
 	if r.flowing() {
 		r.acquit(choice)
-		return
+	} else {
+		components = append(r.shared(), r.wholeRequest())
 	}
-	r.front.culprits.Crashed(target, born, r.sentAt, append(r.shared(), r.wholeRequest()))
+	r.front.culprits.Crashed(target, born, r.sentAt, components)
 	r.front.logBans("own")
 	r.front.alarm()
 }
--- a/internal/request/mtcrash/crashes.go
+++ b/internal/request/mtcrash/crashes.go
@@ -4,7 +4,8 @@
 // A crash names only a set: the components of all requests that ran there and had no answer yet.
 // A component that crashes targets is in the sets of all its crashes, and no request with it is
 // answered. So a component is under suspicion for the crashes after its last answer. What cannot
-// be told from it, as it was at the same crashes, is named with it.
+// be told from it, as it was at the same crashes, is named with it. Targets that crash at the same
+// time without it speak for another cause.
 package mtcrash
 
 import (
@@ -25,6 +26,12 @@
 	// settleTime is how long after a crash is heard of it counts: entries tell of the same crash
 	// one after another.
 	settleTime = 100 * time.Millisecond
+	// outageTime is how far apart entries may see targets crash that one cause takes down.
+	outageTime = 100 * time.Millisecond
+	// sharedPerCrash is how many crashes, each at the same time as others without the component,
+	// count as one: two deadly parts that always run at the same time would else hide each other
+	// for good.
+	sharedPerCrash = 3
 	// AcquittalTime is how long an answer speaks for a component.
 	AcquittalTime = 5 * time.Second
 	// aliveTime is less than a program takes to start: what answers within it never crashed.
--- a/internal/request/mtcrash/crashes_test.go
+++ b/internal/request/mtcrash/crashes_test.go
@@ -313,3 +313,99 @@
 		g.Expect(started.Culprits(nothing, nobody)).To(Equal([][]mtcomponent.Component{{mtcomponent.Part("d")}}))
 	})
 }
+
+// outages adds crashes of several targets within a moment, again and again. The part "a" runs at the
+// first of them only.
+func outages(times, targets int) *mtcrash.Crashes {
+	c := mtcrash.New()
+	for i := range times {
+		time.Sleep(time.Second)
+		for j := range targets {
+			ids := []string{fmt.Sprintf("c%x%x", i, j), fmt.Sprint("w", i, "-", j)}
+			if j == 0 {
+				ids = append(ids, "a")
+			}
+			c.Add(crash(fmt.Sprint("engine-", i, "-", j), ids...))
+			time.Sleep(time.Millisecond)
+		}
+	}
+	settle()
+	return c
+}
+
+// Failure: all targets of a service crash at once, four times in a row, and a part that ran at one
+// of them each time is banned for it.
+func TestCrashesOfTargetsWithoutAPartSpeakForIt(t *testing.T) {
+	for _, targets := range []int{2, 3, 9, 30} {
+		for times := 3; times <= 8; times++ {
+			t.Run(fmt.Sprint(targets, " targets ", times, " times"), func(t *testing.T) {
+				expect(t, func() *mtcrash.Crashes { return outages(times, targets) })
+			})
+		}
+	}
+}
+
+// Failure: as above, and the other targets had no run but those whose responses had begun long
+// before, which leave a crash without components.
+func TestCrashesWithoutComponentsSpeakForAPart(t *testing.T) {
+	expect(t, func() *mtcrash.Crashes {
+		from, to := mtcrash.New(), mtcrash.New()
+		for i := range 4 {
+			time.Sleep(time.Second)
+			from.Add(crash(fmt.Sprint("engine-", i), "a"))
+			from.Add(crash(fmt.Sprint("other-", i)))
+			for _, one := range from.Recent() {
+				to.Add(one)
+			}
+		}
+		return to
+	})
+}
+
+// Guards against a deadly part that is not found as one of its crashes coincides with another one
+// by chance.
+func TestDeadlyPartBesideChanceCrashes(t *testing.T) {
+	expect(t, func() *mtcrash.Crashes {
+		c := mtcrash.New()
+		for i := range 5 {
+			time.Sleep(time.Second)
+			c.Add(crash(fmt.Sprint("engine-", i), "d", fmt.Sprintf("c%x", i)))
+			if i == 1 {
+				c.Add(crash(fmt.Sprint("other-", i), "e"))
+			}
+		}
+		return c
+	}, []string{"d"})
+}
+
+// Guards against copies of a deadly request that hide its part, as the targets that run them crash
+// at nearly the same time, one beside them by chance.
+func TestDeadlyPartAtSeveralTargetsAtOnce(t *testing.T) {
+	expect(t, func() *mtcrash.Crashes {
+		c := mtcrash.New()
+		for i := range 5 {
+			time.Sleep(time.Second)
+			for j := range 3 {
+				c.Add(crash(fmt.Sprint("engine-", i, "-", j), "d", fmt.Sprintf("c%x%x", i, j)))
+			}
+			if i%2 == 1 {
+				c.Add(crash(fmt.Sprint("other-", i), "e"))
+			}
+		}
+		return c
+	}, []string{"d"})
+}
+
+// Guards against two deadly parts that hide each other for good, as they always run at the same
+// time at different targets.
+func TestTwoDeadlyPartsDoNotHideEachOther(t *testing.T) {
+	expect(t, func() *mtcrash.Crashes {
+		c := mtcrash.New()
+		for i := range 21 {
+			time.Sleep(time.Second)
+			c.Add(crash(fmt.Sprint("engine-", i), "d", fmt.Sprintf("c%x", i)))
+			c.Add(crash(fmt.Sprint("other-", i), "e", fmt.Sprintf("f%x", i)))
+		}
+		return c
+	}, []string{"d"}, []string{"e"})
+}
--- a/internal/request/mtcrash/culprits.go
+++ b/internal/request/mtcrash/culprits.go
@@ -28,8 +28,9 @@
 	for i, s := range list {
 		open := slices.DeleteFunc(slices.Clone(s.crashes), func(r *record) bool { return hasOther(explained[r], s.name) })
 		set := []mtcomponent.Component{s.name}
-		guilty := len(open) > 0 && convicted(s.name)
-		if !guilty && c.successive(s.name, open) >= c.needed(s.name, open) {
+		alone, shared := c.successive(s.name, open)
+		guilty := alone > 0 && convicted(s.name)
+		if !guilty && alone+shared/sharedPerCrash >= c.needed(s.name, open) {
 			set = c.alike(s.name, s.crashes)
 			guilty = !rivalled(list[i+1:], s, set)
 		}
@@ -156,17 +157,40 @@
 }
 
 // successive counts the crashes of requests that were sent after the one before. Targets that
-// fail at the same time, as those of a rack do, count once.
-func (c *Crashes) successive(name mtcomponent.Component, crashes []*record) int {
-	count := 0
+// fail at the same time, as those of a rack do, count once. Those are shared where at least as many
+// targets crashed within the same moment without the component: what ended these may have ended
+// all of them.
+func (c *Crashes) successive(name mtcomponent.Component, crashes []*record) (alone, shared int) {
 	var last time.Time
 	for _, r := range crashes {
-		if r.sent[name].After(last) {
-			count++
-			last = r.at
+		if !r.sent[name].After(last) {
+			continue
+		}
+		last = r.at
+		if c.outage(name, r) {
+			shared++
+		} else {
+			alone++
+		}
+	}
+	return alone, shared
+}
+
+// outage reports whether at least as many targets crashed without a component as with it, at about
+// the time of a crash. A record that is full may have lost the component and counts for neither.
+func (c *Crashes) outage(name mtcomponent.Component, crash *record) bool {
+	with, without := 0, 0
+	for _, r := range c.records {
+		_, there := r.sent[name]
+		switch {
+		case r.void || r.at.Sub(crash.at).Abs() > outageTime:
+		case there:
+			with++
+		case len(r.sent) < maxComponents:
+			without++
 		}
 	}
-	return count
+	return without >= with
 }
 
 // alike returns the component and those that were at all its crashes.
--- a/internal/request/mtcrash/gossip.go
+++ b/internal/request/mtcrash/gossip.go
@@ -33,9 +33,6 @@
 	left := maxGossiped
 	for _, r := range fresh {
 		crash := c.encode(r, left, shuffle)
-		if crash == nil {
-			continue
-		}
 		list = append(list, crash)
 		// The target's name takes about as much as a component.
 		if left -= len(crash.GetComponents()) + 1; left <= 0 {
@@ -51,7 +48,7 @@
 	slices.SortFunc(records, func(x, y *record) int { return y.at.Compare(x.at) })
 	var list []*fleetv1.Crash
 	for _, r := range records {
-		if crash := c.encode(r, maxStoredComponents, slices.Sort[[]mtcomponent.Component]); crash != nil && !r.void && len(list) < maxStored {
+		if crash := c.encode(r, maxStoredComponents, slices.Sort[[]mtcomponent.Component]); len(crash.GetComponents()) > 0 && len(list) < maxStored {
 			list = append(list, crash)
 		}
 	}
@@ -71,7 +68,8 @@
 }
 
 // encode returns a crash with at most so many of the components against which it counts, those
-// first that were at other crashes too, and else in an order. It returns nil if there are none.
+// first that were at other crashes too, and else in an order. A crash without components tells of a
+// target that failed without any of them.
 func (c *Crashes) encode(r *record, most int, order func([]mtcomponent.Component)) *fleetv1.Crash {
 	crash := &fleetv1.Crash{Target: r.target, Born: r.born, Age: milliseconds(time.Since(r.at)), Void: r.void}
 	if r.void {
@@ -96,9 +94,6 @@
 		crash.Components = append(crash.Components, uint64(name))
 		crash.Sent = append(crash.Sent, milliseconds(r.at.Sub(r.sent[name])))
 	}
-	if len(crash.GetComponents()) == 0 {
-		return nil
-	}
 	return crash
 }
 
--- a/internal/request/mtculprit/fleet_test.go
+++ b/internal/request/mtculprit/fleet_test.go
@@ -48,6 +48,9 @@
 	// resets, crashes and racks are connections that break, engines that crash by themselves and
 	// tenths of them that do at once, a second.
 	resets, crashes, racks float64
+	// outage is the time between two crashes of all engines at once, 0 for none. Shortly before
+	// each, one request with the part "lone" is sent.
+	outage time.Duration
 	// restarts is the time between two restarts of an entry, 0 for none; all restarts all at once.
 	restarts time.Duration
 	all      time.Duration
@@ -62,6 +65,8 @@
 	// late counts deadly requests sent by entries in touch once the part had to be known.
 	late          int
 	sound, turned int
+	// lone counts the entries that refuse requests with the part "lone" at the end.
+	lone int
 }
 
 type entry struct {
@@ -124,6 +129,11 @@
 		f.gossip()
 		f.store()
 	}
+	for _, e := range f.entries {
+		if e.culprits.Match([]mtcomponent.Component{mtcomponent.Part("lone")}) != nil {
+			f.outcome.lone++
+		}
+	}
 	return f.outcome
 }
 
@@ -161,6 +171,13 @@
 			f.crash(f.engines[f.draw.IntN(len(f.engines))])
 		}
 	}
+	if f.outage > 0 && time.Since(f.begun) > f.outage && f.due(f.outage) {
+		f.number++
+		f.send(&run{shared: []mtcomponent.Component{mtcomponent.Part("lone")}, whole: f.wholeOf(f.number)})
+		for _, e := range f.engines {
+			f.crash(e)
+		}
+	}
 	if f.happens(f.resets) {
 		e := f.engines[f.draw.IntN(len(f.engines))]
 		for _, r := range e.runs {
@@ -277,6 +294,8 @@
 func (f *fleet) breakOff(e *engine, r *run) {
 	if time.Since(r.begin) > flowTime {
 		r.entry.culprits.Acquit(r.shared)
+		r.entry.culprits.Crashed(e.id, 0, r.sent, nil)
+		r.entry.alarm = true
 		return
 	}
 	r.entry.culprits.Crashed(e.id, 0, r.sent, append(slices.Clone(r.shared), r.whole))
--- a/internal/request/mtculprit/model_test.go
+++ b/internal/request/mtculprit/model_test.go
@@ -89,6 +89,26 @@
 	}
 }
 
+// Failure: all engines crash at once, four times, while one of them runs a part, and the part is
+// banned though the engines that did not run it crashed as well.
+func TestOutagesBanNoPart(t *testing.T) {
+	for _, engines := range []int{2, 3, 9, 30} {
+		for _, rate := range []float64{3, 10, 40} {
+			t.Run(fmt.Sprint(engines, " engines, ", rate, " a second"), func(t *testing.T) {
+				for seed := range uint64(5) {
+					synctest.Test(t, func(t *testing.T) {
+						p := plan{seed: seed, entries: 4, engines: engines, rate: rate, chains: 10, outage: 4 * time.Second, loss: 0.01, duration: 21 * time.Second}
+						got := play(p)
+						g := NewWithT(t)
+						g.Expect(got.lone).To(BeZero(), "%+v", p)
+						g.Expect(got.turned).To(BeZero(), "%+v", p)
+					})
+				}
+			})
+		}
+	}
+}
+
 // Guards against combinations of the above that nobody thought of.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
