Tell the programs of a target apart before a send where builds are mixed

Cause: an engine that starts again under its id with other software was taken for the former program until the store or its sidecar reported the start, so that streams went on at the wrong version.

Change: for services whose targets have run several builds within the span of a stream, an entry reads the engine's report over the connection that the request is about to use. Where its start differs from the listed one, or no readable report comes within 250 ms, nothing is sent, the target counts as unreachable and another is chosen. This covers streams that go on and those that begin. Targets without a listed start are not checked.

Ruled out: Mustardtide-Expect-Instance, as both programs have the same id.

--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -125,6 +125,12 @@
 			r.logBanned(ban)
 			return nil, rejected{why: bannedText, banned: true}
 		}
+		if r.otherProgram(ctx, choice, link) {
+			link.Close()
+			choice.End(mtboard.Unreachable{})
+			r.unreached++
+			return nil, rejected{why: "another program runs there than the chosen one", unreached: true}
+		}
 		return link, nil
 	}
 	return nil, rejected{why: err.Error(), unreached: true}
