Continue streams at their copies after an engine has crashed

Cause: a stream that may not be repeated was cut when its engine crashed, though engines of some services keep copies of each other's runs.

Change: while crashes of a service's engines were seen in the last minute, an entry names a second engine for each stream whose copy is worth its transfer (mtboard.ChooseBackup: same data centre, build and weights, fresh state, room, no recent failure, no load of weights ahead, copies of this entry within a tenth of its memory). Only whole events are forwarded then. If the connection breaks after an event with an id, the entry sends the request there once, with Kv-From and Last-Event-Id, drawn from the fleet's bound of repeats. A refusal there, another build or other weights, a ban or an empty budget end the request as the broken stream would have ended. The continuation does not count as an attempt of the route, and nothing is learned from its times.

--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -51,6 +51,8 @@
 	ComponentBanned    Kind = 7061
 	ComponentAcquitted Kind = 7062
 	LevelChanged       Kind = 7063
+	RunContinued       Kind = 7070
+	RunNotContinued    Kind = 7071
 )
 
 var fleetRows = map[Kind]row{
@@ -94,6 +96,8 @@
 	ComponentBanned:    {"component-banned", "requests that have all of some components, parts of a prompt or a whole request, are refused from now on, as targets crashed under them"},
 	ComponentAcquitted: {"component-acquitted", "a request with a banned component was answered: the ban is lifted, or holds for its other components"},
 	LevelChanged:       {"level-changed", "the admission level of a service has changed: how many of its classes of background work are admitted"},
+	RunContinued:       {"run-continued", "an engine broke off a run, which goes on at the engine that keeps a copy of it"},
+	RunNotContinued:    {"run-not-continued", "an engine broke off a run, which does not go on at the engine that was to keep a copy of it"},
 	RequestDangerous:   {"request-dangerous", "a request is refused, as targets crashed under all that have its parts or are like it"},
 	SpeedLearned:       {"speed-learned", "what a service's engines need, as seen in their answers, has changed by a quarter or more"},
 	SpeedAdopted:       {"speed-adopted", "what another process has learned of a service's engines is taken over"},
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -85,6 +85,8 @@
 	// this entry's requests in progress.
 	pending int64
 	running int
+	// copied is the number of tokens in the copies of this entry's runs that the target keeps.
+	copied int64
 	// backlog is pending by rank.
 	backlog mtbacklog.Backlog
 	// state is the last state received of the target.
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -57,6 +57,9 @@
 	unfit     unfit
 	started   bool
 	ended     bool
+	// continued reports whether the send goes on with a copy of a run. It has nothing to prefill
+	// and begins in the middle of an answer, so nothing is learned from its times.
+	continued bool
 }
 
 // Target returns the chosen target's id.
@@ -67,7 +70,7 @@
 func (c *Choice) ExpectedID() string {
 	c.board.mu.Lock()
 	defer c.board.mu.Unlock()
-	if c.record.hasSuccessor() {
+	if c.record.hasSuccessor() && !c.continued {
 		return ""
 	}
 	return c.id
@@ -197,6 +200,10 @@
 	defer c.board.mu.Unlock()
 	c.markPrefilled()
 	c.firstByteAt = time.Now()
+	if c.continued {
+		c.updateLoad(answer)
+		return
+	}
 	took := c.firstByteAt.Sub(c.sentAt)
 	if !c.board.disabled.pace {
 		c.record.latency.learn(c.baseEstimate, took)
@@ -277,7 +284,7 @@
 	switch o := outcome.(type) {
 	case Succeeded:
 		c.record.failures.recordSuccess()
-		if hadStarted {
+		if hadStarted && !c.continued {
 			c.speed.ObserveAnswer(time.Since(c.firstByteAt))
 		}
 	case Unreachable:
@@ -301,6 +308,10 @@
 		c.record.answeredVersion = answer.GetVersion()
 		return
 	}
+	if c.continued {
+		// The engine has no copy, which is no failure of it.
+		return
+	}
 	c.record.failures.recordFailure()
 }
 
--- a/internal/relay/mtfront/deliver.go
+++ b/internal/relay/mtfront/deliver.go
@@ -135,6 +135,7 @@
 	if status < http.StatusMultipleChoices && size > 0 {
 		r.acquit(choice)
 	}
+	r.dropBackup(true)
 	r.front.histogram(`answer_seconds{route="` + r.route.GetName() + `"}`).Observe(time.Since(r.begun))
 	r.front.trail.Metrics().Add(`requests_total{route="`+r.route.GetName()+`",status="`+strconv.Itoa(status)+`"}`, 1)
 	late := r.path.Cause(r.first, r.route.GetAim().AsDuration(), r.pause, r.route.GetGap().AsDuration())
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -34,6 +34,7 @@
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 	"github.com/mustardtide/mustardtide/internal/relay/mtwords"
+	"github.com/mustardtide/mustardtide/internal/request/mtcopy"
 	"github.com/mustardtide/mustardtide/internal/request/mtculprit"
 	"github.com/mustardtide/mustardtide/internal/request/mtorigin"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
@@ -111,7 +112,10 @@
 
 	histograms sync.Map
 	// without is what is left out to be measured.
-	without struct{ shedding, repeats, level bool }
+	without struct{ shedding, repeats, level, backups bool }
+
+	// copies decides which runs are copied to a second engine.
+	copies *mtcopy.Copies
 
 	levels levels
 
@@ -154,6 +158,7 @@
 		alarms:     make(chan struct{}, 1),
 		learn:      make(chan ahead, 1),
 		culprits:   mtculprit.New(),
+		copies:     mtcopy.New(),
 		asker:      &http.Client{Transport: network.Outside(), Timeout: askTime},
 		allowances: map[string]*mtallowance.RetryBudget{},
 	}
@@ -177,11 +182,13 @@
 			f.without.repeats = true
 		case "level":
 			f.without.level = true
+		case "backups":
+			f.without.backups = true
 		default:
 			rest = append(rest, name)
 		}
 	}
-	return trace.Wrap(f.board.Disable(rest...), "besides shedding, repeats and level")
+	return trace.Wrap(f.board.Disable(rest...), "besides shedding, repeats, level and backups")
 }
 
 // Run follows the store and speaks with the sidecars until ctx ends.
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -46,9 +46,12 @@
 	if link == nil {
 		return result
 	}
-	r.tries++
 	r.paid = false
 	r.ending = nil
+	if !choice.Continued() {
+		r.tries++
+		r.assignBackup(choice)
+	}
 	r.logSent(choice, link)
 	r.notify(choice, false)
 	// The connection ends with the caller and with the request's time: the target
@@ -82,11 +85,17 @@
 		r.worked(choice, time.Since(sent))
 		r.observeQueue(choice, time.Since(sent))
 	}
+	r.started(choice, answer)
+	return r.deliver(ctx, choice, link, response, answer)
+}
+
+// started takes in that a target has begun to answer.
+func (r *request) started(choice *mtboard.Choice, answer *fleetv1.Answer) {
 	choice.Started(answer)
+	r.checkBackup(choice, answer)
 	r.notify(choice, true)
 	r.front.histogram(`first_byte_seconds{route="` + r.route.GetName() + `"}`).Observe(time.Since(r.begun))
 	r.front.trail.Metrics().Add(`placed_total{how="`+choice.CacheUse()+`"}`, 1)
-	return r.deliver(ctx, choice, link, response, answer)
 }
 
 // connect returns a connection to the chosen target, or what became of the send without
@@ -179,6 +188,12 @@
 	if r.delivered != nil {
 		d.Resume = r.delivered.Last()
 	}
+	switch {
+	case choice.Continued():
+		d.From = choice.Address() + "/" + r.ask.GetId()
+	case r.backup != nil:
+		d.Backup = r.backup.Address()
+	}
 	return d
 }
 
@@ -210,7 +225,7 @@
 	if choice.LargePrefill() {
 		r.front.burden(choice.Target(), choice.Address())
 	}
-	if choice.Salt() == "" {
+	if choice.Salt() == "" || choice.Continued() {
 		return
 	}
 	for _, part := range r.front.board.Lookups(r.query) {
@@ -237,6 +252,6 @@
 		zap.String("target", choice.Target()), zap.String("build", choice.Build()), zap.Int("try", r.tries),
 		zap.Int64("weights", choice.Version()), zap.Duration("behind", choice.Behind()), zap.Int64("prompt", r.ask.GetPrompt()), zap.Int64("output", r.ask.GetOutput()),
 		zap.String("how", choice.CacheUse()), zap.Int64("cached", choice.Matched()), zap.String("fetch", choice.FetchFrom()),
-		zap.Duration("cost", choice.Cost()), zap.String("next", choice.RunnersUp()), zap.String("unfit", choice.Unfit()), zap.Bool("kept", link.Reused()),
+		zap.Duration("cost", choice.Cost()), zap.String("next", choice.RunnersUp()), zap.String("unfit", choice.Unfit()), zap.Bool("kept", link.Reused()), zap.String("backup", r.backupTarget()),
 		zap.Int64("configuration", r.front.catalog.Load().Version()))...)
 }
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -79,9 +79,13 @@
 	wholeHash  mtcomponent.Component
 	// trial is set if the request runs though it is banned.
 	trial bool
-	// delivered is what the caller has of a stream that another target goes on
-	// with.
+	// delivered is what the caller has of a stream with which another target may go on.
 	delivered *mtresume.Resume
+	// backup keeps a copy of the run in progress, which was sent with the event id resumedAt.
+	// continued is set once a run went on at its copy.
+	backup    *mtboard.Backup
+	resumedAt string
+	continued bool
 	// origin is that of a stream that the caller resumes; opened is set once the caller has
 	// events of this answer.
 	origin *fleetv1.Origin
@@ -238,6 +242,7 @@
 		return
 	}
 	defer r.front.streams.end(r)
+	defer r.dropBackup(false)
 	allowance := r.front.allowance(r.service.GetName())
 	allowance.CountRequest()
 	r.query = mtboard.NewQuery(r.service, r.ask, r.account, r.front.catalog.Load().Cache(mtboard.HomePartID(r.ask)), r.route.GetAim().AsDuration())
@@ -271,11 +276,7 @@
 			return
 		}
 		r.path.Add(mtlate.Entry, time.Since(began))
-		chosen := time.Now()
-		last = r.send(ctx, choice)
-		r.path.Failed(time.Since(chosen))
-		r.leaveOut(choice, last)
-		r.log(choice, last)
+		last = r.attempt(ctx, choice)
 		if r.over(ctx, last) {
 			return
 		}
--- a/internal/relay/mtfront/stream.go
+++ b/internal/relay/mtfront/stream.go
@@ -10,7 +10,6 @@
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
-	"github.com/mustardtide/mustardtide/internal/request/mtresume"
 )
 
 // stream passes a stream's events on as they come.
@@ -18,9 +17,7 @@
 	if r.delivered == nil {
 		r.head(response)
 		r.openEnd()
-		if r.route.GetResumable() {
-			r.delivered = mtresume.New(r.ask.GetResume())
-		}
+		r.trackDelivery()
 		r.out.WriteHeader(response.StatusCode)
 	}
 	count, err := r.copyEvents(response.Body, func() { r.pinBuild(choice, answer) })
@@ -75,7 +72,7 @@
 	}
 }
 
-// copyEvents passes bytes on as they come; of a resumable stream only whole
+// copyEvents passes bytes on as they come; of a stream that is resumable or has a copy only whole
 // events, so that another target can go on after the last of them. It calls open before it
 // passes any on.
 func (r *request) copyEvents(from io.Reader, open func()) (int, error) {
--- a/internal/relay/mtfront/suspect.go
+++ b/internal/relay/mtfront/suspect.go
@@ -93,6 +93,7 @@
 	target, born := choice.Incarnation()
 	r.front.trail.Warn(mtkind.RequestSuspected, append(r.fields(), zap.String("target", target), zap.Int64("born", born),
 		zap.Strings("parts", r.partNames()), zap.Duration("first", r.first), zap.Bool("flowing", r.flowing()))...)
+	r.front.copies.RecordCrash(r.service.GetName(), target, born, 0)
 	if r.flowing() {
 		r.acquit(choice)
 		return
@@ -143,6 +144,11 @@
 
 // hearCrashes takes in what another entry knows of crashes.
 func (f *Front) hearCrashes(digest *fleetv1.Digest) {
+	for _, crash := range digest.GetCrashes() {
+		if target := f.roster.View().Target(crash.GetTarget()); target != nil && !crash.GetVoid() {
+			f.copies.RecordCrash(target.GetService(), crash.GetTarget(), crash.GetBorn(), time.Duration(crash.GetAge())*time.Millisecond)
+		}
+	}
 	if f.culprits.Merge(digest) {
 		f.logBans("entry " + digest.GetEntry())
 		f.crashNews()
--- a/internal/request/mtcopy/copies.go
+++ b/internal/request/mtcopy/copies.go
@@ -42,8 +42,9 @@
 func New() *Copies { return &Copies{crashes: map[string]map[program]time.Time{}} }
 
 // RecordCrash records that an engine of a service crashed: its id and the start of its program in
-// Unix milliseconds, 0 if unknown. A program counts once, however many of its runs broke off.
-func (c *Copies) RecordCrash(service, target string, born int64) {
+// Unix milliseconds, 0 if unknown. age is how long ago it was. A program counts once, however many
+// of its runs broke off.
+func (c *Copies) RecordCrash(service, target string, born int64, age time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expire(service)
@@ -51,8 +52,8 @@
 		c.crashes[service] = map[program]time.Time{}
 	}
 	key := program{target, born}
-	if _, known := c.crashes[service][key]; !known {
-		c.crashes[service][key] = time.Now()
+	if _, known := c.crashes[service][key]; !known && age <= memory {
+		c.crashes[service][key] = time.Now().Add(-age)
 	}
 }
 
--- a/internal/request/mtcopy/copies_test.go
+++ b/internal/request/mtcopy/copies_test.go
@@ -32,7 +32,7 @@
 			for i := range engines / 4 {
 				// Thirty runs of the same program break off.
 				for range 30 {
-					c.RecordCrash("pool", fmt.Sprint("e", i), int64(round+1))
+					c.RecordCrash("pool", fmt.Sprint("e", i), int64(round+1), 0)
 				}
 			}
 			g.Expect(pays(c)).To(BeTrue())
@@ -61,7 +61,7 @@
 	g.Expect(c.Affordable(33*time.Nanosecond, 1024*time.Nanosecond)).To(BeFalse())
 	g.Expect(c.Affordable(0, prefill)).To(BeFalse(), "the operators don't say what a transfer takes")
 	g.Expect(c.Affordable(transfer, 0)).To(BeFalse(), "nothing is learned yet")
-	c.RecordCrash("pool", "e0", 1)
+	c.RecordCrash("pool", "e0", 1, 0)
 	g.Expect(c.Pays("pool", engines, lasting, urgent, 100*price)).To(BeFalse())
 }
 
@@ -69,9 +69,12 @@
 func TestCrashesAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, c := NewWithT(t), mtcopy.New()
-		c.RecordCrash("pool", "e0", 1)
+		c.RecordCrash("pool", "e0", 1, 0)
 		first := c.Rate("pool", engines)
 		time.Sleep(20 * time.Second)
 		g.Expect(c.Rate("pool", engines)).To(BeNumerically("~", first/2, first/1000))
+		c.RecordCrash("pool", "e0", 1, 0)
+		c.RecordCrash("pool", "e1", 1, 2*time.Minute)
+		g.Expect(c.Rate("pool", engines)).To(BeNumerically("~", first/2, first/1000), "known, or long ago")
 	})
 }
