Merge copies of runs, off by default

Copies save streams that may not be repeated from crashes, and take memory and slots from other prompts. They are used where operators start entries with `--with copies`.

--- a/internal/command/mttable/entry.go
+++ b/internal/command/mttable/entry.go
@@ -11,8 +11,9 @@
 )
 
 func bindEntry(c *kingpin.CmdClause) action {
+	with := c.Flag("with", "Use a mechanism that is off by default: copies, which keeps a copy of runs at a second engine while engines crash.").PlaceHolder("NAME").Strings()
 	without := c.Flag("without", "Development: leave a mechanism out, to measure what it is worth.").Hidden().Strings()
-	return daemon(c, mtdaemon.RunEntry, func() error { return mtfleet.RunEntry(*without) })
+	return daemon(c, mtdaemon.RunEntry, func() error { return mtfleet.RunEntry(*with, *without) })
 }
 
 // daemon binds a daemon that runs with a settings file of the project's own, or
--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -53,6 +53,8 @@
 	LevelChanged       Kind = 7063
 	PromiseClaimed     Kind = 7080
 	PromiseMissed      Kind = 7081
+	RunContinued       Kind = 7070
+	RunNotContinued    Kind = 7071
 )
 
 var fleetRows = map[Kind]row{
@@ -98,6 +100,8 @@
 	LevelChanged:       {"level-changed", "the admission level of a service has changed: how many of its classes of background work are admitted"},
 	PromiseClaimed:     {"promise-claimed", "a refused caller has returned in the window that it was promised: its request goes before new ones"},
 	PromiseMissed:      {"promise-missed", "a refused caller has returned in the window that it was promised, and is refused again: its request can't be answered before its deadline, or capacity was lost and the draw went against it"},
+	RunContinued:       {"run-continued", "an engine broke off a run, which goes on at the engine that keeps a copy of it"},
+	RunNotContinued:    {"run-not-continued", "an engine broke off a run, which does not go on at the engine that was to keep a copy of it"},
 	RequestDangerous:   {"request-dangerous", "a request is refused, as targets crashed under all that have its parts or are like it"},
 	SpeedLearned:       {"speed-learned", "what a service's engines need, as seen in their answers, has changed by a quarter or more"},
 	SpeedAdopted:       {"speed-adopted", "what another process has learned of a service's engines is taken over"},
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -35,6 +35,7 @@
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
 	"github.com/mustardtide/mustardtide/internal/relay/mtwords"
+	"github.com/mustardtide/mustardtide/internal/request/mtcopy"
 	"github.com/mustardtide/mustardtide/internal/request/mtculprit"
 	"github.com/mustardtide/mustardtide/internal/request/mtorigin"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
@@ -113,6 +114,11 @@
 	histograms sync.Map
 	// without is what is left out to be measured.
 	without struct{ shedding, repeats, level, promises bool }
+	// with is what is used only where the operators ask for it.
+	with struct{ copies bool }
+
+	// copies decides which runs are copied to a second engine.
+	copies *mtcopy.Copies
 
 	levels levels
 	// schedules say when refused callers should return, promises are those kept here, claims the
@@ -161,6 +167,7 @@
 		alarms:     make(chan struct{}, 1),
 		learn:      make(chan ahead, 1),
 		culprits:   mtculprit.New(),
+		copies:     mtcopy.New(),
 		asker:      &http.Client{Transport: network.Outside(), Timeout: askTime},
 		allowances: map[string]*mtallowance.RetryBudget{},
 	}
@@ -193,6 +200,17 @@
 	return trace.Wrap(f.board.Disable(rest...), "besides shedding, repeats, level and promises")
 }
 
+// With uses mechanisms that are off unless operators ask for them. It is called before Run.
+func (f *Front) With(names ...string) error {
+	for _, name := range names {
+		if name != "copies" {
+			return trace.BadParameter("unknown mechanism %q; copies is the only one that can be asked for", name)
+		}
+		f.with.copies = true
+	}
+	return nil
+}
+
 // Run follows the store and speaks with the sidecars until ctx ends.
 func (f *Front) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/relay/mtfront/stream.go
+++ b/internal/relay/mtfront/stream.go
@@ -11,7 +11,6 @@
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/request/mtpatience"
-	"github.com/mustardtide/mustardtide/internal/request/mtresume"
 )
 
 // stream passes a stream's events on as they come.
@@ -19,9 +18,7 @@
 	if r.delivered == nil {
 		r.head(response)
 		r.openEnd()
-		if r.route.GetResumable() {
-			r.delivered = mtresume.New(r.ask.GetResume())
-		}
+		r.trackDelivery()
 		r.out.WriteHeader(response.StatusCode)
 	}
 	r.patience = mtpatience.New(r.route.GetAim().AsDuration(), r.route.GetGap().AsDuration())
@@ -78,7 +75,7 @@
 	}
 }
 
-// copyEvents passes bytes on as they come; of a resumable stream only whole
+// copyEvents passes bytes on as they come; of a stream that is resumable or has a copy only whole
 // events, so that another target can go on after the last of them. It calls open before it
 // passes any on. What comes with the bytes that pass a bound is not passed on.
 func (r *request) copyEvents(from io.Reader, open func()) (int, error) {
--- a/internal/role/mtfleet/entry.go
+++ b/internal/role/mtfleet/entry.go
@@ -13,9 +13,9 @@
 	"github.com/mustardtide/mustardtide/platform/mtspeech"
 )
 
-// RunEntry runs an entry until SIGTERM, for development without some of its
-// mechanisms.
-func RunEntry(without []string) error {
+// RunEntry runs an entry until SIGTERM, with mechanisms that operators ask for and, for development,
+// without some others.
+func RunEntry(with, without []string) error {
 	d, err := open()
 	if err != nil {
 		return trace.Wrap(err)
@@ -25,6 +25,9 @@
 		return trace.Wrap(err)
 	}
 	front := mtfront.New(d.site, d.network, socket, d.trail)
+	if err := front.With(with...); err != nil {
+		return trace.Wrap(err)
+	}
 	if err := front.Without(without...); err != nil {
 		return trace.Wrap(err)
 	}
