Keep a request's ranking from the configuration that it came under

Cause: whether a service ranks its requests was looked up in the newest configuration at each use, and twice in a row in some places. A configuration that ends the ranking between the two made the second a nil pointer, which ends the entry.

Change: the ranking is taken with the route and the service, and stays with the request.

--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -21,6 +21,7 @@
 	"github.com/mustardtide/mustardtide/internal/request/mtpatience"
 	"github.com/mustardtide/mustardtide/internal/request/mtresume"
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
+	"github.com/mustardtide/mustardtide/internal/routing/mtranking"
 	"github.com/mustardtide/mustardtide/platform/mtspeech"
 )
 
@@ -41,6 +42,9 @@
 	route   *fleetv1.Route
 	account *fleetv1.Account
 	service *fleetv1.Service
+	// ranking is how the service ranks its requests by the configuration that the request came
+	// under, nil if it does not: the next configuration may end that while the request runs.
+	ranking *mtranking.Ranking
 	body    []byte
 	uri     string
 
@@ -192,6 +196,7 @@
 		}
 	}
 	r.service = r.front.service(mtcatalog.Pick(r.route))
+	r.ranking = catalog.Ranking(r.service.GetName())
 	return true
 }
 
--- a/internal/relay/mtfront/shed.go
+++ b/internal/relay/mtfront/shed.go
@@ -96,7 +96,7 @@
 	if !r.ranked() {
 		return true
 	}
-	class := r.ranking().Class(r.rank(), r.route)
+	class := r.ranking.Class(r.rank(), r.route)
 	free := r.front.board.FreeShare(r.service.GetName())
 	admitted := true
 	r.front.levels.use(r.service.GetName(), func(level *mtlevel.Level) {
