Serve ranked and other requests with one check of room

Cause: fullForRank repeated full with other sums, and a record kept its pending tokens twice, as a sum and by rank.

Change: full takes memory and runs by rank where the request is placed by it; queuedAhead returns the whole queue for others already. The sum is derived from the backlog by rank.

Tests of internal/placement pass, mtboard's with the race detector too; TestUnrankedChoicesAreAsBefore among them.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -81,14 +81,12 @@
 	// hostHash is the hash of the host in the instance's address.
 	hostHash uint64
 
-	// pending is the number of prompt tokens sent but not yet prefilled, running the number of
+	// backlog are the prompt tokens sent but not yet prefilled, by rank, running the number of
 	// this entry's requests in progress.
-	pending int64
+	backlog mtbacklog.Backlog
 	running int
 	// copied is the number of tokens in the copies of this entry's runs that the target keeps.
 	copied int64
-	// backlog is pending by rank.
-	backlog mtbacklog.Backlog
 	// state is the last state received of the target.
 	state   *fleetv1.State
 	stateAt time.Time
@@ -278,7 +276,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.records[hello.GetTarget()]; r != nil {
-		hello.Epoch, hello.Since, hello.Pending, hello.Bare = r.epoch, r.appliedUpTo, r.pending, !r.followed
+		hello.Epoch, hello.Since, hello.Pending, hello.Bare = r.epoch, r.appliedUpTo, r.backlog.Queued(), !r.followed
 		if hello.Ranked = b.ranked[r.target.GetService()]; hello.GetRanked() {
 			hello.Backlog = r.backlog.Message()
 		}
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -176,7 +176,6 @@
 	c.build, c.born = c.record.build(), c.record.startMillis()
 	c.sentAt = time.Now()
 	c.record.running++
-	c.record.pending += c.prefillTokens
 	c.record.backlog.Add(c.query.rank, c.prefillTokens)
 	tokens := c.query.sharedTokens()
 	c.saveToStore = c.salt != "" && c.matched+c.fetched < tokens && c.storedTokens < tokens && c.storeUseful
@@ -319,7 +318,6 @@
 func (c *Choice) markPrefilled() {
 	if !c.started {
 		c.started = true
-		c.record.pending -= c.prefillTokens
 		c.record.backlog.Add(c.query.rank, -c.prefillTokens)
 	}
 }
--- a/internal/placement/mtboard/cost.go
+++ b/internal/placement/mtboard/cost.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mustardtide/mustardtide/internal/placement/mtbacklog"
 	"github.com/mustardtide/mustardtide/internal/placement/mtholder"
 	"github.com/mustardtide/mustardtide/internal/placement/mtspeed"
 )
@@ -171,26 +172,27 @@
 // queuedTokens returns the number of prompt tokens that wait for prefill on the target.
 func (r *record) queuedTokens() int64 {
 	if !r.fresh() {
-		return r.pending
+		return r.backlog.Queued()
 	}
-	return r.pending + r.state.GetPending()
+	return r.backlog.Queued() + r.state.GetPending()
 }
 
-// full reports whether the request would not fit beside those running.
+// full reports whether the request would not fit beside those running that it does not preempt.
 func (r *record) full(q *Query) bool {
 	if !r.fresh() || r.state.GetReport().GetTotal() == 0 {
 		return false
 	}
-	if q.ranked {
-		return r.fullForRank(q)
-	}
 	report := r.state.GetReport()
-	need := float64(report.GetUsed() + r.queuedTokens() + q.ask.GetPrompt() + q.ask.GetOutput())
+	used, runs := report.GetUsed(), r.running+r.otherRequests()
+	if work := mtbacklog.Of(report.GetBacklog()); q.ranked && work.Known() {
+		used, runs = work.UsedAhead(q.rank), work.RunsAhead(q.rank)
+	}
+	need := float64(used + r.queuedAhead(q) + q.ask.GetPrompt() + q.ask.GetOutput())
 	if need > maxMemoryShare*float64(report.GetTotal()) {
 		return true
 	}
 	slots := int(r.target.GetSlots())
-	return slots > 0 && r.running+r.otherRequests() >= slots
+	return slots > 0 && runs >= slots
 }
 
 // nearGracePeriodEnd reports whether weights superseded that long ago are close to the end of
--- a/internal/placement/mtboard/rank.go
+++ b/internal/placement/mtboard/rank.go
@@ -34,21 +34,6 @@
 	return min(all, ahead+min(chunkTokens, max(0, all-ahead)))
 }
 
-// fullForRank reports whether the request would not fit beside the runs that it does not preempt.
-func (r *record) fullForRank(q *Query) bool {
-	report := r.state.GetReport()
-	used, runs := report.GetUsed(), r.running+r.otherRequests()
-	if work := mtbacklog.Of(report.GetBacklog()); work.Known() {
-		used, runs = work.UsedAhead(q.rank), work.RunsAhead(q.rank)
-	}
-	need := float64(used + r.queuedAhead(q) + q.ask.GetPrompt() + q.ask.GetOutput())
-	if need > maxMemoryShare*float64(report.GetTotal()) {
-		return true
-	}
-	slots := int(r.target.GetSlots())
-	return slots > 0 && runs >= slots
-}
-
 // preemptedTokens returns how many tokens of less urgent runs the request would preempt, which are
 // then prefilled again.
 func (r *record) preemptedTokens(q *Query) int64 {
