Compute the free places only where the level would refuse

Cause: each request of a service that ranks its requests summed up the state of all its engines under the board's lock, also while its level admits all. Three places computed the request's class by themselves, beside class().

Change: Admit asks for the share of free places when it needs it; class() serves all.

--- a/internal/admission/mtlevel/level.go
+++ b/internal/admission/mtlevel/level.go
@@ -175,14 +175,14 @@
 	return l.current()
 }
 
-// Admit reports whether a request of an account is admitted. free is the share of the service's
-// places that is free.
-func (l *Level) Admit(rank int32, account string, free float64) bool {
+// Admit reports whether a request of an account is admitted. free returns the share of the service's
+// places that is free; it is called only if the level would refuse requests of the rank.
+func (l *Level) Admit(rank int32, account string, free func() float64) bool {
 	l.advance()
 	i := l.index(rank)
 	l.accounts.count(i, account)
 	admitted := l.current() - float64(i-1)
-	if i == 0 || admitted >= 1 || free >= freeShare {
+	if i == 0 || admitted >= 1 || free() >= freeShare {
 		return true
 	}
 	below, width := l.accounts.position(i, account)
--- a/internal/admission/mtlevel/level_test.go
+++ b/internal/admission/mtlevel/level_test.go
@@ -26,6 +26,9 @@
 	hot                = "account-0"
 )
 
+// free is the share of free places that a level is told.
+func free(share float64) func() float64 { return func() float64 { return share } }
+
 // fleet is a model of entries before one pool of engines, which prefill urgent prompts first.
 type fleet struct {
 	entries []*mtlevel.Level
@@ -133,7 +136,7 @@
 		}
 		wait := f.wait(rank)
 		f.entries[entry].Observe(rank, wait, objective(rank))
-		if !f.entries[entry].Admit(rank, account, 0) || wait > limit(rank) {
+		if !f.entries[entry].Admit(rank, account, free(0)) || wait > limit(rank) {
 			continue
 		}
 		for _, kind := range kinds {
@@ -228,15 +231,15 @@
 		for range 100 {
 			time.Sleep(50 * time.Millisecond)
 			l.Observe(2, 3*time.Second, backgroundAim)
-			g.Expect(l.Admit(2, "a", 0.5)).To(BeTrue())
+			g.Expect(l.Admit(2, "a", free(0.5))).To(BeTrue())
 		}
 		g.Expect(l.Value()).To(BeNumerically("<", 0.1))
 		admitted := 0
 		for range 1000 {
-			if l.Admit(2, "a", 0.1) {
+			if l.Admit(2, "a", free(0.1)) {
 				admitted++
 			}
-			g.Expect(l.Admit(0, "a", 0)).To(BeTrue())
+			g.Expect(l.Admit(0, "a", free(0))).To(BeTrue())
 		}
 		g.Expect(admitted).To(BeNumerically("~", 300, 90))
 	})
@@ -258,7 +261,7 @@
 				l.Observe(2, 0, backgroundAim)
 			}
 			all++
-			switch admitted := l.Admit(2, "a", 0); {
+			switch admitted := l.Admit(2, "a", free(0)); {
 			case i%2 == 0 && (admitted || l.AdmitPromised(2, "a")):
 				again++
 			case i%2 == 1 && admitted:
--- a/internal/relay/mtfront/level.go
+++ b/internal/relay/mtfront/level.go
@@ -111,7 +111,7 @@
 	if !r.ranked() || r.first == 0 {
 		return
 	}
-	class := r.ranking.Class(r.rank(), r.route)
+	class := r.class()
 	r.front.levels.use(r.service.GetName(), func(level *mtlevel.Level) {
 		level.Observe(class, r.pause, r.route.GetGap().AsDuration())
 	})
@@ -123,7 +123,7 @@
 	if !r.ranked() {
 		return
 	}
-	class := r.ranking.Class(r.rank(), r.route)
+	class := r.class()
 	queued := max(0, took-(choice.Estimate()-choice.QueueTime()))
 	r.front.levels.use(r.service.GetName(), func(level *mtlevel.Level) {
 		level.Observe(class, queued, r.route.GetAim().AsDuration())
--- a/internal/relay/mtfront/promise.go
+++ b/internal/relay/mtfront/promise.go
@@ -140,9 +140,6 @@
 // promises reports whether the request's refusal for overload comes with a promise.
 func (r *request) promises() bool { return r.ranked() && !r.front.without.promises }
 
-// class is the one by which the request is admitted.
-func (r *request) class() int32 { return r.ranking.Class(r.rank(), r.route) }
-
 // hash identifies the request when its caller returns with it.
 func (r *request) hash() []byte {
 	return mtpromise.Hash(r.account.GetName(), r.in.Method, r.in.Host, r.uri, r.body)
--- a/internal/relay/mtfront/rank.go
+++ b/internal/relay/mtfront/rank.go
@@ -25,3 +25,6 @@
 	}
 	return r.rank()
 }
+
+// class is the one by which the request is admitted.
+func (r *request) class() int32 { return r.ranking.Class(r.rank(), r.route) }
--- a/internal/relay/mtfront/shed.go
+++ b/internal/relay/mtfront/shed.go
@@ -96,8 +96,8 @@
 	if !r.ranked() {
 		return true
 	}
-	class := r.ranking.Class(r.rank(), r.route)
-	free := r.front.board.FreeShare(r.service.GetName())
+	class := r.class()
+	free := func() float64 { return r.front.board.FreeShare(r.service.GetName()) }
 	admitted := true
 	r.front.levels.use(r.service.GetName(), func(level *mtlevel.Level) {
 		level.Observe(class, choice.QueueTime(), r.route.GetAim().AsDuration())
