Decide with and without ranks by one rule

Cause: DecideRanked repeated the checks of deadline and retries of Decide.

Change: both set a limit in aims, none for urgent requests of a service that ranks them, and one function decides.

Tests of mtshed pass.

--- a/internal/admission/mtshed/shed.go
+++ b/internal/admission/mtshed/shed.go
@@ -8,6 +8,7 @@
 package mtshed
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -49,18 +50,11 @@
 // to the first byte on the best target, of which wait is queueing time. left is the time until
 // the caller's deadline, and timeout is the route's.
 func Decide(rank int32, estimate, wait, aim, left, timeout time.Duration) Decision {
-	if estimate > left {
-		// The request can't be answered before its deadline, so queueing it is useless.
-		return Reject(estimate, aim)
-	}
-	if aim <= 0 || float64(left) < firstAttemptFraction*float64(timeout) {
-		return Decision{}
-	}
 	limit := otherAimFraction
 	if rank == 0 {
 		limit = urgentAimFraction
 	}
-	return decide(limit, estimate, wait, aim)
+	return decide(limit, estimate, wait, aim, left, timeout)
 }
 
 // DecideRanked is Decide for a service that admits requests by rank. estimate leaves out the less
@@ -69,17 +63,22 @@
 // before their deadline. A timeout of 0 leaves out the rule by which a request with little time left
 // counts as a retry.
 func DecideRanked(background bool, estimate, wait, aim, left, timeout time.Duration) Decision {
-	switch {
-	case estimate > left:
-		return Reject(estimate, aim)
-	case !background || aim <= 0 || float64(left) < firstAttemptFraction*float64(timeout):
-		return Decision{}
-	default:
-		return decide(otherAimFraction, estimate, wait, aim)
+	limit := math.Inf(1)
+	if background {
+		limit = otherAimFraction
 	}
+	return decide(limit, estimate, wait, aim, left, timeout)
 }
 
-func decide(limit float64, estimate, wait, aim time.Duration) Decision {
+// decide rejects a request whose estimate is over its deadline, or over a limit in aims.
+func decide(limit float64, estimate, wait, aim, left, timeout time.Duration) Decision {
+	if estimate > left {
+		// The request can't be answered before its deadline, so queueing it is useless.
+		return Reject(estimate, aim)
+	}
+	if aim <= 0 || float64(left) < firstAttemptFraction*float64(timeout) {
+		return Decision{}
+	}
 	if float64(estimate) <= limit*float64(aim) || float64(wait) < minWaitFraction*float64(aim) {
 		return Decision{}
 	}
