Copy an engine's report only for entries that choose by rank

Cause: a sidecar cloned the report for each state that it told, to leave out the backlog by rank, in all deployments: several times in each 100 ms.

Change: the backlog is taken out once when the report is read, and put back into a copy only where an entry asks for it.

Tests of the relay packages pass; mtbeside has none of its own.

--- a/internal/relay/mtbeside/order.go
+++ b/internal/relay/mtbeside/order.go
@@ -40,7 +40,8 @@
 		return s.failed == lostAfter
 	}
 	before := s.report
-	s.report = report
+	s.report, s.backlog = report, report.GetBacklog()
+	report.Backlog = nil
 	s.plan.Observe(report)
 	back := s.failed >= lostAfter
 	s.failed = 0
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -69,6 +69,8 @@
 	// target is the engine's id as the entries know it.
 	target string
 	report *fleetv1.Report
+	// backlog is the report's, which only entries get that choose by rank.
+	backlog []*fleetv1.Backlog
 	// speed is what an entry told last of the service's engines, kept for entries
 	// that start: all of them may have been killed at once.
 	speed  *fleetv1.Speed
--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -137,13 +137,9 @@
 // state is what the entries are told; the sidecar is locked. A state without
 // changes of the cache says so by its numbers.
 func (s *Sidecar) state(to string) *fleetv1.State {
-	report, ranked := s.report, s.entries.Ranked()
-	if !ranked {
-		report = withoutBacklog(report)
-	}
 	state := &fleetv1.State{
 		Target:   s.target,
-		Report:   report,
+		Report:   s.report,
 		Answers:  s.failed < lostAfter,
 		Ordering: s.plan.Ordering(s.report),
 		Entries:  uint32(s.entries.Live()),
@@ -153,22 +149,14 @@
 		Pending:  s.entries.Pending(to),
 		Load:     s.plan.Load(),
 	}
-	if ranked {
+	if s.entries.Ranked() {
 		state.Backlog = s.entries.Backlog(to)
+		state.Report = proto.CloneOf(s.report)
+		state.Report.Backlog = s.backlog
 	}
 	return state
 }
 
-// withoutBacklog returns the report as entries get it that choose by the sums alone.
-func withoutBacklog(report *fleetv1.Report) *fleetv1.Report {
-	if len(report.GetBacklog()) == 0 {
-		return report
-	}
-	short := proto.CloneOf(report)
-	short.Backlog = nil
-	return short
-}
-
 // tellAll tells every live entry that greets often at once: something has changed
 // on which they choose. The others seldom choose this engine.
 func (s *Sidecar) tellAll() { s.tellSome(math.MaxInt) }
