Read an engine's report over a connection in one place

Cause: the check of an engine's start repeated what the sidecar's probe does for a report: its call, its bounds of time and size, its errors.

Change: mtprobe.ReportOver reads a report over a connection that goes on to carry a request; it shares the exchange and the bounds with Probe.

Tests of mtprobe, mtfront and mtcustody pass, and those of builds, streams that are taken up and the custody in mtground.

--- a/internal/relay/mtfront/program.go
+++ b/internal/relay/mtfront/program.go
@@ -2,20 +2,10 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
-	"time"
 
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
-	"github.com/mustardtide/mustardtide/platform/mtspeech"
-)
-
-const (
-	// reportTimeout bounds the reading of a target's report: several round trips to another region.
-	reportTimeout = 250 * time.Millisecond
-	// maxReport bounds a report.
-	maxReport = 1 << 20
+	"github.com/mustardtide/mustardtide/internal/relay/mtprobe"
 )
 
 // otherProgram reports whether the program at the other end of a connection is known or feared to
@@ -27,22 +17,7 @@
 	if listed == 0 || choice.Salt() == "" || !r.front.builds.Several(r.service.GetName(), r.span()) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	stop := context.AfterFunc(ctx, link.Close)
-	defer stop()
 	r.front.trail.Metrics().Add("programs_verified_total", 1)
-	if err := link.Send(http.MethodGet, mtspeech.PathReport, r.in.Host, http.Header{}, nil); err != nil {
-		return true
-	}
-	response, err := link.Receive(http.MethodGet, func(*http.Response) bool { return true }) //nolint:bodyclose // the link ends with its body
-	if err != nil {
-		return true
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReport))
-	if err != nil || response.StatusCode != http.StatusOK || response.Close {
-		return true
-	}
-	report, err := mtspeech.DecodeReport(body)
+	report, err := mtprobe.ReportOver(ctx, link, r.in.Host)
 	return err != nil || report.GetBorn() != listed
 }
--- a/internal/relay/mtprobe/probe.go
+++ b/internal/relay/mtprobe/probe.go
@@ -50,11 +50,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if status != http.StatusOK {
-		return nil, trace.ConnectionProblem(nil, "the engine answered its report with status %d", status)
-	}
-	report, err := mtspeech.DecodeReport(body)
-	return report, trace.Wrap(err)
+	return decodeReport(status, body)
 }
 
 // CacheEvents waits for changes of the engine's cache after a number.
@@ -117,23 +113,52 @@
 	}
 	stop := context.AfterFunc(ctx, link.Close)
 	defer stop()
-	if err := link.Send(method, path, p.address, header, body); err != nil {
+	response, answer, err := exchange(link, method, path, p.address, header, body) //nolint:bodyclose // the link ends with its body
+	if err != nil {
 		link.Close()
 		return 0, nil, trace.Wrap(err)
 	}
-	response, err := link.Receive(method, func(*http.Response) bool { return true }) //nolint:bodyclose // the link ends with its body
+	link.Release(mtspeech.DecodeAnswer(response.StatusCode, response.Header).GetIdle().AsDuration())
+	return response.StatusCode, answer, nil
+}
+
+// exchange sends a request over a connection and reads the whole answer.
+func exchange(link *mtlink.Link, method, path, host string, header http.Header, body []byte) (*http.Response, []byte, error) {
+	if err := link.Send(method, path, host, header, body); err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	response, err := link.Receive(method, func(*http.Response) bool { return true })
 	if err != nil {
-		link.Close()
-		return 0, nil, trace.Wrap(err)
+		return nil, nil, trace.Wrap(err)
 	}
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxReport+1))
 	if err == nil && len(answer) > maxReport {
 		err = trace.LimitExceeded("the engine's answer is over %d bytes", maxReport)
 	}
+	return response, answer, trace.Wrap(err)
+}
+
+// ReportOver reads what the engine at the other end of a connection says of itself, so that the
+// connection can carry another request afterwards. It is an error if the engine closes it.
+func ReportOver(ctx context.Context, link *mtlink.Link, host string) (*fleetv1.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	stop := context.AfterFunc(ctx, link.Close)
+	defer stop()
+	response, body, err := exchange(link, http.MethodGet, mtspeech.PathReport, host, nil, nil) //nolint:bodyclose // the link ends with its body
 	if err != nil {
-		link.Close()
-		return 0, nil, trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
-	link.Release(mtspeech.DecodeAnswer(response.StatusCode, response.Header).GetIdle().AsDuration())
-	return response.StatusCode, answer, nil
+	if response.Close {
+		return nil, trace.ConnectionProblem(nil, "the engine closes the connection after its report")
+	}
+	return decodeReport(response.StatusCode, body)
+}
+
+func decodeReport(status int, body []byte) (*fleetv1.Report, error) {
+	if status != http.StatusOK {
+		return nil, trace.ConnectionProblem(nil, "the engine answered its report with status %d", status)
+	}
+	report, err := mtspeech.DecodeReport(body)
+	return report, trace.Wrap(err)
 }
