Keep the level and the schedule of a service together

Cause: levels and schedules were two maps by service, each with a lock, a configure and a use of the same form.

Change: one admission a service holds both.

Tests of mtfront pass, the promises' tests of mtground twice with the race detector; lint reports no issue.

--- a/internal/relay/mtfront/digest.go
+++ b/internal/relay/mtfront/digest.go
@@ -100,7 +100,7 @@
 		digest.Entries = uint32(max(f.quota.ObservedSize(), f.limiter.ObservedSize()))
 	}
 	digest.Limits = f.limits.Recent(maxLimits)
-	digest.Levels = f.levels.messages()
+	digest.Levels = f.admissions.messages()
 	digest.Custody, digest.Away = f.standbys.version(), f.away.Load() > 0
 	if f.board.Entries() == 0 {
 		digest.Peers, digest.Named = f.peers.fresh(toldPeers), f.board.NewestWeights()
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -120,12 +120,11 @@
 	// copies decides which runs are copied to a second engine.
 	copies *mtcopy.Copies
 
-	levels levels
-	// schedules say when refused callers should return, promises are those kept here, claims the
-	// lookups of promises in progress.
-	schedules schedules
-	promises  *mtpromise.Table
-	claims    claims
+	// admissions are by service, promises are those kept here, claims the lookups of promises in
+	// progress.
+	admissions admissions
+	promises   *mtpromise.Table
+	claims     claims
 
 	// culprits are what requests crash targets; crashTold is when a digest went out last for
 	// news of that, as a time since begun.
@@ -319,7 +318,7 @@
 		}
 		return 0
 	})
-	set.Gauge("admission_level_thousandths", f.levels.lowest)
+	set.Gauge("admission_level_thousandths", f.admissions.lowest)
 	set.Gauge("goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
 	set.Gauge("catalog_version", func() int64 {
 		if catalog := f.catalog.Load(); catalog != nil {
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -183,8 +183,7 @@
 	catalog := mtcatalog.New(source)
 	f.catalog.Store(catalog)
 	f.board.SetRanked(catalog.Ranked())
-	f.levels.configure(catalog)
-	f.schedules.configure(catalog)
+	f.admissions.configure(catalog)
 	f.catalogHeard.note(age)
 	f.histogram(`heard_seconds{kind="configuration"}`).Observe(age)
 	f.trail.Say(mtkind.CatalogInForce, zap.Int64("version", source.GetVersion()), zap.Int64("revision", source.GetRevision()),
--- a/internal/relay/mtfront/promise.go
+++ b/internal/relay/mtfront/promise.go
@@ -14,40 +14,11 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtschedule"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
-	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
 )
 
 // promiseReplicas is how many sidecars keep a promise: one may restart or miss the datagram.
 const promiseReplicas = 2
 
-// schedules are those of the services that rank their requests. The zero value is ready for use.
-type schedules struct {
-	mu        sync.Mutex
-	byService map[string]*mtschedule.Schedule
-}
-
-// configure takes in a configuration.
-func (s *schedules) configure(catalog *mtcatalog.Catalog) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	old := s.byService
-	s.byService = map[string]*mtschedule.Schedule{}
-	for service := range catalog.Ranked() {
-		if s.byService[service] = old[service]; old[service] == nil {
-			s.byService[service] = mtschedule.New()
-		}
-	}
-}
-
-// use calls f with a service's schedule, if it has one.
-func (s *schedules) use(service string, f func(*mtschedule.Schedule)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if schedule := s.byService[service]; schedule != nil {
-		f(schedule)
-	}
-}
-
 // claimResult is what became of the lookup of a request's promise.
 type claimResult struct {
 	// answered reports whether some process that may keep the promise has answered.
@@ -201,7 +172,7 @@
 	}
 	result.judged, result.kept = true, fits
 	if fits {
-		r.front.schedules.use(r.service.GetName(), func(s *mtschedule.Schedule) { result.kept = s.Keep() })
+		r.front.admissions.use(r.service.GetName(), func(a *admission) { result.kept = a.schedule.Keep() })
 	}
 	kind, metric := mtkind.PromiseClaimed, "promises_claimed_total"
 	if !result.kept {
@@ -220,8 +191,8 @@
 		return mtschedule.Again(time.Duration(early.promise.GetOpens()) * time.Millisecond), early.promise.GetNumber()
 	}
 	var opens, closes time.Duration
-	r.front.schedules.use(r.service.GetName(), func(s *mtschedule.Schedule) {
-		again, opens, closes = s.Book(r.class(), time.Until(r.until))
+	r.front.admissions.use(r.service.GetName(), func(a *admission) {
+		again, opens, closes = a.schedule.Book(r.class(), time.Until(r.until))
 	})
 	promise := &fleetv1.Promise{
 		Hash: r.hash(), Service: r.service.GetName(), Rank: r.urgency(), Account: r.account.GetName(),
@@ -240,6 +211,6 @@
 // observeBegin counts a response that has begun, by which slots are sized.
 func (r *request) observeBegin() {
 	if r.ranked() {
-		r.front.schedules.use(r.service.GetName(), func(s *mtschedule.Schedule) { s.Begin(r.class()) })
+		r.front.admissions.use(r.service.GetName(), func(a *admission) { a.schedule.Begin(r.class()) })
 	}
 }
--- a/internal/relay/mtfront/shed.go
+++ b/internal/relay/mtfront/shed.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/mustardtide/mustardtide/internal/admission/mtlevel"
 	"github.com/mustardtide/mustardtide/internal/admission/mtshed"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 )
@@ -85,8 +84,8 @@
 // admittedAgain reports whether the level admits the request as one that returns as promised.
 func (r *request) admittedAgain() bool {
 	admitted := true
-	r.front.levels.use(r.service.GetName(), func(level *mtlevel.Level) {
-		admitted = level.AdmitPromised(r.class(), r.account.GetName())
+	r.front.admissions.use(r.service.GetName(), func(a *admission) {
+		admitted = a.level.AdmitPromised(r.class(), r.account.GetName())
 	})
 	return admitted
 }
@@ -99,9 +98,9 @@
 	class := r.class()
 	free := func() float64 { return r.front.board.FreeShare(r.service.GetName()) }
 	admitted := true
-	r.front.levels.use(r.service.GetName(), func(level *mtlevel.Level) {
-		level.Observe(class, choice.QueueTime(), r.route.GetAim().AsDuration())
-		admitted = level.Admit(class, r.account.GetName(), free)
+	r.front.admissions.use(r.service.GetName(), func(a *admission) {
+		a.level.Observe(class, choice.QueueTime(), r.route.GetAim().AsDuration())
+		admitted = a.level.Admit(class, r.account.GetName(), free)
 	})
 	return admitted
 }
