--- a/internal/relay/mtprobe/probe_test.go
+++ b/internal/relay/mtprobe/probe_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -11,7 +10,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mustardtide/mustardtide/internal/relay/mtprobe"
-	"github.com/mustardtide/mustardtide/internal/role/mtserver"
 	"github.com/mustardtide/mustardtide/internal/standin/mtwire"
 	"github.com/mustardtide/mustardtide/platform/standin/mtform"
 )
@@ -44,21 +42,16 @@
 				wire := mtwire.New()
 				listener, err := wire.Listen(address)
 				g.Expect(err).NotTo(HaveOccurred())
-				taken, reset := 0, false
-				server := mtserver.NewDirect(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-					taken, reset = mtform.Endless(w, c.first, c.piece, c.pause, 4<<20)
-				}))
-				ended := make(chan error, 1)
-				go func() { ended <- server.Serve(listener) }()
+				outcome, stop := mtform.ServeEndless(listener, c.first, c.piece, c.pause, 4<<20)
 				begun := time.Now()
 				_, err = mtprobe.New(address, wire.Net().Dial).Report(context.Background())
 				g.Expect(err).To(HaveOccurred())
 				g.Expect(time.Since(begun)).To(BeNumerically("<=", reportTime))
 				synctest.Wait()
+				taken, reset := outcome()
 				g.Expect(taken).To(BeNumerically("<=", c.most+32<<10))
 				g.Expect(reset).To(BeTrue())
-				server.Close()
-				<-ended
+				stop()
 			})
 		})
 	}
