Show a request with many parts that crashes engines for good

A script sends two requests, each again and again with the same path, caller and body, that crash each engine that begins to run them; their prompts have 200 shared parts. The whole request is mostly not among the 32 components that are kept of a crash, and no ban begins.

--- a/review/scene/caller.go
+++ b/review/scene/caller.go
@@ -75,12 +75,17 @@
 	return c.ips[n%len(c.ips)]
 }
 
-// ask sends one request and notes its answer.
+// ask sends one request, of tokens for a model engine, and notes its answer.
 func (c *callers) ask(ip, id, path string, tokens int, deadline time.Duration) {
+	c.send(ip, id, path, "body of "+id, fmt.Sprintf("%d,%d", sharedTokens+ownTokens, tokens), fmt.Sprintf("%x:%d,%x:%d", path[:3], sharedTokens, id, ownTokens), deadline)
+}
+
+// send sends one request and notes its answer.
+func (c *callers) send(ip, id, path, body, tokens, parts string, deadline time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	a := answer{id: id, path: path, sent: time.Now()}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ip+":8782"+path, strings.NewReader("body of "+id))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ip+":8782"+path, strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
@@ -88,18 +93,16 @@
 	request.Header.Set("Mustardtide-Attempt-Id", id)
 	request.Header.Set("Mustardtide-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	request.Header.Set("Authorization", "Bearer "+key)
-	if tokens > 0 {
-		request.Header.Set("Mustardtide-Model", c.model)
-		request.Header.Set("Mustardtide-Token-Count", fmt.Sprintf("%d,%d", sharedTokens+ownTokens, tokens))
-		request.Header.Set("Mustardtide-Prompt-Prefix", fmt.Sprintf("%x:%d,%x:%d", path[:3], sharedTokens, id, ownTokens))
-	}
+	request.Header.Set("Mustardtide-Model", c.model)
+	request.Header.Set("Mustardtide-Token-Count", tokens)
+	request.Header.Set("Mustardtide-Prompt-Prefix", parts)
 	c.fleet.record.say("caller sends %s %s to %s", id, path, ip)
 	response, err := c.http.Do(request)
 	if err == nil {
 		a.status, a.seal = response.StatusCode, response.Header.Get("Mustardtide-Response-Seal")
-		var body []byte
-		body, err = io.ReadAll(response.Body)
-		a.body = string(body)
+		var got []byte
+		got, err = io.ReadAll(response.Body)
+		a.body = string(got)
 		_ = response.Body.Close()
 	}
 	a.err = err
--- a/review/scene/engine.go
+++ b/review/scene/engine.go
@@ -32,6 +32,12 @@
 	born    int64
 	server  *server
 	batch   *batch
+	// deadly begins the paths of requests that crash the engine, "" for none; down is how long it is
+	// away then. crashes are when it did, by path.
+	deadly  string
+	down    time.Duration
+	crashes map[string][]time.Time
+	crashed time.Time
 
 	mu      sync.Mutex
 	running int
@@ -62,7 +68,7 @@
 
 // newEngine starts an engine at an address. It serves at once; list writes its entry.
 func (f *fleet) newEngine(id, service, model, address string) (*engine, error) {
-	e := &engine{fleet: f, id: id, service: service, model: model, address: address, born: time.Now().UnixMilli(), batch: newBatch(), versions: map[string]int64{}}
+	e := &engine{fleet: f, id: id, service: service, model: model, address: address, born: time.Now().UnixMilli(), batch: newBatch(), versions: map[string]int64{}, crashes: map[string][]time.Time{}}
 	if model != "" {
 		e.names = strings.Split(model, ",")
 		for _, name := range e.names {
@@ -241,6 +247,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	_, output, _ := strings.Cut(r.Header.Get("Mustardtide-Token-Count"), ",")
 	count, _ := strconv.Atoi(output)
+	dies := e.deadly != "" && strings.HasPrefix(r.RequestURI, e.deadly)
 	tokens := e.batch.add(r.Context(), r.Header.Get("Mustardtide-Prompt-Prefix"), count)
 	for i := 1; i <= count; i++ {
 		select {
@@ -249,9 +256,40 @@
 			e.fleet.record.say("engine %s (%s): request %s is cut off after %d of %d tokens", e.id, e.service, id, i-1, count)
 			return
 		}
+		if dies {
+			e.crash(id, r.RequestURI)
+			// The answer must not end in order before the connection is gone.
+			<-r.Context().Done()
+			return
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", i, i, e.id); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
 	}
 }
+
+// crash ends the program as it begins to write an answer, and starts it again after a time.
+func (e *engine) crash(id, path string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if time.Since(e.crashed) < e.down {
+		return
+	}
+	e.crashed = time.Now()
+	e.crashes[path] = append(e.crashes[path], e.crashed)
+	e.fleet.record.say("engine %s crashes under request %s", e.id, id)
+	go func() {
+		e.server.crash()
+		time.Sleep(e.down)
+		e.mu.Lock()
+		e.born, e.batch, e.sequence = time.Now().UnixMilli(), newBatch(), 0
+		e.mu.Unlock()
+		var err error
+		if e.server, err = e.fleet.serve(e.address, e); err != nil {
+			panic(err)
+		}
+		e.list("ready")
+		e.fleet.record.say("engine %s is back", e.id)
+	}()
+}
