--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,4 +7,4 @@
 	echo "build target/mustardtide and run review/build.sh first" >&2
 	exit 2
 fi
-exec target/review-scene reused-address target/mustardtide review/1/record.txt
+exec target/review-scene deadly-request target/mustardtide review/1/record.txt
