Show the reused address with one disruption

The case stood on a store that is down beside the crash. Where the service has one engine the crash and the reuse of its address suffice: the gone target stays chosen, as being replaced only makes it dearer, and goes without the id of an instance on its sidecar's word.

--- a/review/scene/reused.go
+++ b/review/scene/reused.go
@@ -15,7 +15,7 @@
 // model is the one that both services run.
 const model = "m0"
 
-// outage is how long the store is down.
+// outage is how long the store is down where it is.
 const outage = 6 * time.Second
 
 func init() { scenes["reused-address"] = reusedAddress }
@@ -34,7 +34,12 @@
 		route("chat", "chat-pool"), route("batch", "batch-pool"), service("chat-pool"), service("batch-pool"), key))
 	f.store.Put(mtstore.Weights, model, fmt.Sprintf(`{"model":%q,"version":1}`, model))
 	var engines []*engine
-	for i, name := range []string{"chat-pool", "chat-pool", "batch-pool"} {
+	down := os.Getenv("OUTAGE") == "1"
+	pools, perSecond := []string{"chat-pool", "batch-pool"}, 8
+	if down {
+		pools, perSecond = append(pools, "chat-pool"), 15
+	}
+	for i, name := range pools {
 		e, err := f.newEngine(fmt.Sprintf("i-first%d", i), name, model, f.ip(2, i+1)+":8785")
 		if err != nil {
 			return false, err
@@ -60,48 +65,55 @@
 	}
 	c := newCallers(f, ips)
 	flooded := make(chan struct{})
-	go func() { c.flood("/chat/", 15, 13, 16*time.Second, 6*time.Second); close(flooded) }()
+	go func() { c.flood("/chat/", perSecond, 13, 16*time.Second, 6*time.Second); close(flooded) }()
 	time.Sleep(5 * time.Second)
 	if trouble {
-		gone := engines[0]
-		f.record.say("engine %s crashes for good", gone.id)
-		gone.server.crash()
-		crashed := time.Now()
-		down := os.Getenv("OUTAGE") != "0"
-		if down {
-			f.record.say("the store is down")
-			f.store.Silence(true)
-		}
-		time.Sleep(reuse + 100*time.Millisecond)
-		heir, err := f.newEngine("i-second", "batch-pool", model, gone.address)
+		heir, err := f.reuseAddress(engines[0], down)
 		if err != nil {
 			return false, err
 		}
 		engines = append(engines, heir)
-		if err := f.rewrite("side-0", "chat-pool", "batch-pool"); err != nil {
-			return false, err
-		}
-		if !down {
-			time.Sleep(heartbeat)
-			heir.list("ready")
-			time.Sleep(time.Until(crashed.Add(3 * heartbeat)))
-			f.store.Delete(mtstore.Targets, gone.id)
-			f.record.say("the entry of engine %s lapses", gone.id)
-			<-flooded
-			c.wait.Wait()
-			return f.judgeRoutes(engines, map[string]string{"/chat/": "chat-pool", "/batch/": "batch-pool"}, c)
-		}
-		time.Sleep(time.Until(crashed.Add(outage)))
-		f.store.Delete(mtstore.Targets, gone.id)
-		heir.list("ready")
-		f.store.Silence(false)
-		f.record.say("the store is back, without the entry of engine %s", gone.id)
 	}
 	<-flooded
 	c.wait.Wait()
 	return f.judgeRoutes(engines, map[string]string{"/chat/": "chat-pool", "/batch/": "batch-pool"}, c)
 }
 
+// reuseAddress lets an engine crash, and starts one of the other service at its address. Its entry is
+// written at once; with down, the store is silent from the crash on, and the entry comes when it is
+// back.
+func (f *fleet) reuseAddress(gone *engine, down bool) (*engine, error) {
+	f.record.say("engine %s crashes for good", gone.id)
+	gone.server.crash()
+	crashed := time.Now()
+	lapse := 3 * heartbeat
+	if down {
+		lapse = outage
+		f.record.say("the store is down")
+		f.store.Silence(true)
+	}
+	time.Sleep(reuse + 100*time.Millisecond)
+	heir, err := f.newEngine("i-second", "batch-pool", model, gone.address)
+	if err != nil {
+		return nil, err
+	}
+	if !down {
+		heir.list("ready")
+	}
+	if err := f.rewrite("side-0", "chat-pool", "batch-pool"); err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Until(crashed.Add(lapse)))
+	f.store.Delete(mtstore.Targets, gone.id)
+	f.record.say("the entry of engine %s lapses", gone.id)
+	if down {
+		heir.list("ready")
+		f.store.Silence(false)
+		f.record.say("the store is back")
+	}
+	return heir, nil
+}
+
 // judgeRoutes applies the rule: a request is run by a service to which no configuration ever sent
 // allows it to go.
 func (f *fleet) judgeRoutes(engines []*engine, services map[string]string, c *callers) (bool, error) {
