Test a real entry under crowds of clients without limits

Callers saw an entry end when clients that keep to no limits sent many large bodies: it ran out of memory. No test in this repository sent such a thing.

Each scenario of platform/standin/mtcrowd/testdata is a crowd of connections to a real entry on loopback: large bodies of legal size, whole, in pieces and in chunks, short of their end; bodies over the limit, announced or just sent; and, of the same class, many small bodies, open heads, heads of many parts, connections without a request, whole requests that wait, and callers that do not read. Checked are that the process lives, that resident memory and unread bytes stay within memory_mb and sockets within max_fds less the 200 for files, and that an ordinary request is answered beside the crowd and after it.

The tests run alone, after all others in test/unit.sh.

--- a/test/unit.sh
+++ b/test/unit.sh
@@ -9,6 +9,9 @@
 # timers on whichever threads look at them, in one race context, which two
 # threads at a time corrupt.
 #
+# Tests of what a process holds under crowds of clients run last and alone: what
+# is beside them would count in the machine's sockets and processor time.
+#
 # The tests of the longest of these packages are divided among several processes
 # with the detector: on one thread they took two thirds of the whole run.
 set -uo pipefail
@@ -26,7 +29,8 @@
 imports='{{range .TestImports}}{{.}} {{end}}{{range .XTestImports}}{{.}} {{end}}'
 packages=$(go list -f "{{.ImportPath}} $imports" ./...) || exit 1
 bubbles=$(grep -F ' testing/synctest ' <<<"$packages" | cut -d' ' -f1)
-others=$(grep -v -F ' testing/synctest ' <<<"$packages" | cut -d' ' -f1)
+crowds=github.com/mustardtide/mustardtide/platform/standin/mtcrowd
+others=$(grep -v -F ' testing/synctest ' <<<"$packages" | cut -d' ' -f1 | grep -v -x -F "$crowds")
 
 longest=github.com/mustardtide/mustardtide/platform/standin/mtground
 shards=4
@@ -49,6 +53,7 @@
 for run in "${raced[@]}"; do
 	wait "$run" || code=1
 done
+go test -race -count=1 -parallel 1 -timeout 20m -skip "$skip" "$crowds" || code=1
 
 while IFS='|' read -r name package cause issue; do
 	[ -n "$name" ] || continue
