Read the bound of descriptors, and settings for what callers can hold

Cause: of the platform's limits a process read its memory alone, and used it for the runtime's soft limit only. Nothing said how much of it callers may make the process hold; max_fds was not read at all.

Change: Site has descriptors and room, a group of four settings; what is not given follows from memory and descriptors by mtcapacity, a module without a network: 0.2 of the memory for requests, 0.25 for connections and for serving, 0.1 for bytes that wait in sockets, so that the collector's limit of 0.65 keeps a third of itself for all else; three eighths of the sockets for callers, as each request may take a second one to a target. header_timeout_ms is decoded. Settings whose parts exceed the memory are refused with their line.

Nothing uses the figures yet but the runtime's limit, which is as before.

--- a/internal/role/mtfleet/run.go
+++ b/internal/role/mtfleet/run.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/admission/mtcapacity"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/observe/mtsink"
 	"github.com/mustardtide/mustardtide/internal/observe/mttrail"
@@ -31,9 +32,6 @@
 )
 
 const (
-	// memoryShare is the part of the instance's memory at which the runtime
-	// collects harder: the rest is for stacks, buffers of the kernel and bursts.
-	memoryShare = 0.65
 	// metricsPort is where metrics are served on every instance.
 	metricsPort = 9102
 	// dialTime bounds a new connection: a hundred times the way between data
@@ -62,14 +60,20 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if site.GetMemory() > 0 {
-		debug.SetMemoryLimit(int64(float64(site.GetMemory()) * memoryShare))
-	}
+	limitRuntime(site)
 	sink := mtsink.New(os.Stdout)
 	klog.SetLogger(klog.NewStdLogger(quiet{}))
 	return &daemon{path: path, site: site, sink: sink, trail: mttrail.New(site.GetName(), sink), network: mtnet.Probing(dialTime)}, nil
 }
 
+// limitRuntime lets the runtime collect harder near a part of the instance's memory: the rest is for
+// buffers of the kernel and bursts.
+func limitRuntime(site *fleetv1.Site) {
+	if limit := mtcapacity.Of(site).Runtime(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
+}
+
 // quiet drops the framework's own lines: start and stop are events of ours.
 type quiet struct{}
 
