Bound the sum of what request bodies hold

Callers saw an entry end: many clients sent large bodies of legal size and stopped short of their end. Each body was bounded by itself, by io.ReadAll up to the limit, and nothing bounded the sum; growing held the old and the new slice at once. A body that announced more than the limit was read up to it, and a refusal before the end of a body waited for the rest of it without any bound of time.

Ruled out: that a single request takes too much (TestLargeBodyInCalm passes before and after), and leaked memory (it is released with the connections).

Change: mtbody reads a body into pieces, so that it is never held twice, and accounts for each piece before it is allocated. mtreservation is the budget of all requests, from the process's memory. Where it is full, bodies that are still coming in give up theirs: of the account that holds most, the one whose bytes have been held for longest without progress, where a second with progress counts a sixteenth. The caller is told 503, not run, with a Retry-After; nothing of it was sent. Requests that have come whole are not broken off; large ones leave a quarter of the budget to those up to 64 KB, and one account's leave half to the others. A long body that no other target can get is released once its answer has begun. Announced lengths over the limit get 413 at once, and a refused client's connection is read for 0.5 s and 256 KB more at most, so that the answer is not lost with a reset.

--- a/internal/admission/mtpromise/promise.go
+++ b/internal/admission/mtpromise/promise.go
@@ -9,6 +9,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"hash"
 	"sync"
 	"time"
 
@@ -49,18 +50,30 @@
 
 // Hash is the digest of a request, by which its caller is recognized when it returns. The account
 // is part of it: no account can name the request of another.
-func Hash(account, method, host, path string, body []byte) []byte {
+func Hash(account, method, host, path string, body [][]byte) []byte {
 	h := sha256.New()
-	for _, field := range [][]byte{[]byte(account), []byte(method), []byte(host), []byte(path), body} {
-		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
-		// A hash takes everything.
-		_, _ = h.Write(size[:])
-		_, _ = h.Write(field)
+	for _, field := range []string{account, method, host, path} {
+		writeField(h, []byte(field))
 	}
+	writeField(h, body...)
 	return h.Sum(nil)[:hashSize]
 }
 
+// writeField hashes the length of a field and its pieces.
+func writeField(h hash.Hash, pieces ...[]byte) {
+	var total uint64
+	for _, piece := range pieces {
+		total += uint64(len(piece))
+	}
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], total)
+	// A hash takes everything.
+	_, _ = h.Write(size[:])
+	for _, piece := range pieces {
+		_, _ = h.Write(piece)
+	}
+}
+
 // Add keeps a promise. One that was made to the same request before and is still open goes first:
 // a caller that returns early does not get a second window. Add reports false where the table is
 // full.
--- a/internal/admission/mtpromise/promise_test.go
+++ b/internal/admission/mtpromise/promise_test.go
@@ -21,7 +21,7 @@
 )
 
 func hash(id string) []byte {
-	return mtpromise.Hash("school", "POST", "fleet.example", "/batch/", []byte(id))
+	return mtpromise.Hash("school", "POST", "fleet.example", "/batch/", [][]byte{[]byte(id)})
 }
 
 // promise is one whose window is from 200 to 600 ms from now.
@@ -74,11 +74,11 @@
 		table.Add(promise("a"))
 		time.Sleep(300 * time.Millisecond)
 		for _, other := range [][]byte{
-			mtpromise.Hash("town", "POST", "fleet.example", "/batch/", []byte("a")),
-			mtpromise.Hash("school", "PUT", "fleet.example", "/batch/", []byte("a")),
-			mtpromise.Hash("school", "POST", "other.example", "/batch/", []byte("a")),
+			mtpromise.Hash("town", "POST", "fleet.example", "/batch/", [][]byte{[]byte("a")}),
+			mtpromise.Hash("school", "PUT", "fleet.example", "/batch/", [][]byte{[]byte("a")}),
+			mtpromise.Hash("school", "POST", "other.example", "/batch/", [][]byte{[]byte("a")}),
 			mtpromise.Hash("school", "POST", "fleet.example", "/batch/a", nil),
-			mtpromise.Hash("schoolP", "OST", "fleet.example", "/batch/", []byte("a")),
+			mtpromise.Hash("schoolP", "OST", "fleet.example", "/batch/", [][]byte{[]byte("a")}),
 			nil,
 		} {
 			g.Expect(table.Claim(&fleetv1.Claim{Hash: other, Service: "pool"}).GetState()).To(Equal(unknown))
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -16,11 +16,13 @@
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/admission/mtallocator"
 	"github.com/mustardtide/mustardtide/internal/admission/mtallowance"
+	"github.com/mustardtide/mustardtide/internal/admission/mtcapacity"
 	"github.com/mustardtide/mustardtide/internal/admission/mtclosing"
 	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
 	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
 	"github.com/mustardtide/mustardtide/internal/admission/mtpromise"
 	"github.com/mustardtide/mustardtide/internal/admission/mtquota"
+	"github.com/mustardtide/mustardtide/internal/admission/mtreservation"
 	"github.com/mustardtide/mustardtide/internal/admission/mtstart"
 	"github.com/mustardtide/mustardtide/internal/members/mtbuilds"
 	"github.com/mustardtide/mustardtide/internal/members/mtcensus"
@@ -132,6 +134,9 @@
 	crashTold atomic.Int64
 	asker     *http.Client
 
+	// memory bounds what requests hold.
+	memory *mtreservation.Budget
+
 	mu         sync.Mutex
 	allowances map[string]*mtallowance.RetryBudget
 }
@@ -139,6 +144,7 @@
 // New returns an entry that knows nothing yet, on a network whose dials are
 // bounded.
 func New(site *fleetv1.Site, network *mtnet.Net, socket mtpulse.Socket, trail *mttrail.Trail) *Front {
+	capacity := mtcapacity.Of(site)
 	limits := mtlimit.New()
 	limiter := mtlimiter.New(socket.Address(), limits)
 	f := &Front{
@@ -169,12 +175,14 @@
 		copies:     mtcopy.New(),
 		asker:      &http.Client{Transport: network.Outside(), Timeout: askTime},
 		allowances: map[string]*mtallowance.RetryBudget{},
+		memory:     mtreservation.New(capacity.Requests()),
 	}
 	f.start = mtstart.New(f.knowsEnough)
 	f.standbys = newStandbys(f)
-	f.gauges()
 	dials := trail.Metrics().Counter("target_connections_total")
 	f.pool = mtlink.NewPool(network.Dial, func() { dials.Inc(1) })
+	f.gauges()
+	f.holdingGauges()
 	return f
 }
 
--- a/internal/relay/mtfront/promise.go
+++ b/internal/relay/mtfront/promise.go
@@ -113,7 +113,7 @@
 
 // hash identifies the request when its caller returns with it.
 func (r *request) hash() []byte {
-	return mtpromise.Hash(r.account.GetName(), r.in.Method, r.in.Host, r.uri, r.body)
+	return mtpromise.Hash(r.account.GetName(), r.in.Method, r.in.Host, r.uri, r.body.Pieces())
 }
 
 // claim looks up the promise made to the request, once, and takes it if its window has begun.
--- /dev/null
+++ b/internal/relay/mtfront/receive.go
@@ -0,0 +1,135 @@
+package mtfront
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/mustardtide/mustardtide/internal/admission/mtreservation"
+	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
+	"github.com/mustardtide/mustardtide/internal/request/mtbody"
+)
+
+const (
+	// memoryAgain is when a caller whose request found no memory should ask again: the first bodies
+	// that wait are broken off or answered by then. Half of it is random.
+	memoryAgain = time.Second
+	// restBody and restTime bound what is read of a small body whose request is refused, so that its
+	// connection can be kept.
+	restBody = 16 << 10
+	restTime = 50 * time.Millisecond
+	// lingerBody and lingerTime bound what is read after a refusal of a body that is still coming:
+	// closing a connection with unread bytes resets it, which can take the answer along.
+	lingerBody = 256 << 10
+	lingerTime = 500 * time.Millisecond
+	// longBody is the size from which a body is released before its request ends.
+	longBody = 64 << 10
+)
+
+// receive reads the whole request, or refuses it.
+func (r *request) receive(ctx context.Context) bool {
+	err := r.readBody(ctx)
+	whole := r.memory.Received()
+	if err == nil && whole {
+		r.received = true
+		return true
+	}
+	r.body = nil
+	r.memory.Release()
+	switch {
+	case !whole:
+		r.rejectForMemory(mtreservation.ErrBroken)
+	case errors.Is(err, mtbody.ErrLarge), errors.Is(err, mtreservation.ErrLarge):
+		r.deny(http.StatusRequestEntityTooLarge, err.Error(), r.front.catalog.Load())
+	case errors.Is(err, mtreservation.ErrFull):
+		r.rejectForMemory(err)
+	default:
+		r.left("the body broke off")
+		r.abort()
+	}
+	return false
+}
+
+func (r *request) rejectForMemory(err error) {
+	r.reject(err.Error(), memoryAgain/2+rand.N(memoryAgain))
+}
+
+// readBody reads the whole body: a request that is sent to a second target needs it again.
+func (r *request) readBody(ctx context.Context) error {
+	if r.in.Body == nil || r.in.Body == http.NoBody {
+		return nil
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		// A caller that stops in the middle of its body must not hold the entry.
+		_ = r.control.SetReadDeadline(deadline)
+	}
+	r.openMemory()
+	body, err := mtbody.Read(r.in.Body, r.in.ContentLength, r.bodyLimit(), held{ctx: ctx, memory: r.memory})
+	if err == nil {
+		r.body = body
+		_ = r.control.SetReadDeadline(time.Time{})
+	}
+	return err
+}
+
+// bodyLimit is the greatest size of a body.
+func (r *request) bodyLimit() int64 {
+	limit := int64(defaultBody)
+	if catalog := r.front.catalog.Load(); catalog != nil && catalog.Limits().GetBody() > 0 {
+		limit = catalog.Limits().GetBody()
+	}
+	return limit
+}
+
+// openMemory lets what the request holds count. It can be broken off until the request is received.
+func (r *request) openMemory() {
+	if r.memory == nil {
+		r.memory = r.front.memory.Open(r.account.GetName(), func() { _ = r.control.SetReadDeadline(time.Unix(1, 0)) })
+	}
+}
+
+// held lets a body take memory.
+type held struct {
+	ctx    context.Context
+	memory *mtreservation.Reservation
+}
+
+func (h held) Grow(n int64) error { return h.memory.Grow(h.ctx, n) }
+
+func (h held) Progress() { h.memory.Progress() }
+
+// releaseBody releases a long body that no other target can get any more.
+func (r *request) releaseBody(link *mtlink.Link) {
+	if r.body.Held() < longBody || r.backup != nil || r.repeatable() && r.tries < int(r.route.GetAttempts()) || !link.Written() {
+		return
+	}
+	// It identifies the request if its target crashes.
+	r.wholeRequest()
+	r.memory.Shrink(r.body.Held())
+	r.body = nil
+}
+
+// readRest reads what is left of a small body before a refusal.
+func (r *request) readRest() {
+	if r.received || r.in.ContentLength > restBody {
+		return
+	}
+	_ = r.control.SetReadDeadline(time.Now().Add(restTime))
+	if n, err := io.CopyN(io.Discard, r.in.Body, restBody+1); errors.Is(err, io.EOF) && n <= restBody {
+		r.received = true
+		_ = r.control.SetReadDeadline(time.Time{})
+	}
+}
+
+// linger reads on for a moment after a refusal of a request that has not come whole.
+func (r *request) linger() {
+	// A caller that has gone reads no refusal.
+	_ = r.control.Flush()
+	_ = r.control.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, r.in.Body, lingerBody)
+	// The server would read on without a bound of time.
+	_ = r.control.SetReadDeadline(time.Unix(1, 0))
+}
--- a/internal/relay/mtfront/refuse.go
+++ b/internal/relay/mtfront/refuse.go
@@ -98,6 +98,11 @@
 func (r *request) write(status int, why string) {
 	r.front.trail.Metrics().Add(fmt.Sprintf("refusals_total{status=\"%d\"}", status), 1)
 	r.out.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	r.readRest()
+	if !r.received {
+		r.out.Header().Set("Connection", "close")
+		defer r.linger()
+	}
 	r.hurry()
 	r.out.WriteHeader(status)
 	// A caller that has gone does not read why.
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -63,7 +63,7 @@
 	r.sentAt, r.bodyAt = sent, time.Time{}
 	before := r.mayHaveRun
 	r.mayHaveRun = true
-	if err := link.Send(r.in.Method, r.uri, r.in.Host, header, r.body); err != nil {
+	if err := link.Send(r.in.Method, r.uri, r.in.Host, header, r.body.Pieces()...); err != nil {
 		return r.lost(ctx, choice, link, err)
 	}
 	response, err := link.Receive(r.in.Method, r.mine) //nolint:bodyclose // the link ends with its body
@@ -87,6 +87,7 @@
 		r.observeBegin()
 	}
 	r.started(choice, answer)
+	r.releaseBody(link)
 	return r.deliver(ctx, choice, link, response, answer)
 }
 
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -12,10 +10,12 @@
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/admission/mtquota"
+	"github.com/mustardtide/mustardtide/internal/admission/mtreservation"
 	"github.com/mustardtide/mustardtide/internal/admission/mtreturn"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/observe/mtlate"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
+	"github.com/mustardtide/mustardtide/internal/request/mtbody"
 	"github.com/mustardtide/mustardtide/internal/request/mtcomponent"
 	"github.com/mustardtide/mustardtide/internal/request/mtending"
 	"github.com/mustardtide/mustardtide/internal/request/mtpatience"
@@ -45,8 +45,12 @@
 	// ranking is how the service ranks its requests by the configuration that the request came
 	// under, nil if it does not: the next configuration may end that while the request runs.
 	ranking *mtranking.Ranking
-	body    []byte
+	body    *mtbody.Body
 	uri     string
+	// memory counts what the request holds, nil while that is little. received is set once the
+	// request has come whole.
+	memory   *mtreservation.Reservation
+	received bool
 
 	// cost is what was taken from the account's quota; ticket is set while credit for
 	// it is drawn.
@@ -129,15 +133,13 @@
 	if !r.resolve() || !r.charge() {
 		return
 	}
+	defer func() { r.memory.Release() }()
 	defer r.refund()
 	timeout := r.timeout()
 	r.until = r.begun.Add(timeout)
 	ctx, cancel := context.WithDeadline(in.Context(), r.until)
 	defer cancel()
-	if !r.readBody(ctx) {
-		return
-	}
-	if !r.resolveCharge(ctx) {
+	if !r.receive(ctx) || !r.resolveCharge(ctx) {
 		return
 	}
 	if !r.takes(ctx) {
@@ -220,36 +222,6 @@
 	return timeout
 }
 
-// readBody reads the whole body: a request that is sent to a second target
-// needs it again.
-func (r *request) readBody(ctx context.Context) bool {
-	if r.in.Body == nil || r.in.Body == http.NoBody {
-		return true
-	}
-	limit := int64(defaultBody)
-	if catalog := r.front.catalog.Load(); catalog != nil && catalog.Limits().GetBody() > 0 {
-		limit = catalog.Limits().GetBody()
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		// A caller that stops in the middle of its body must not hold the entry.
-		_ = r.control.SetReadDeadline(deadline)
-		defer func() { _ = r.control.SetReadDeadline(time.Time{}) }()
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(r.out, r.in.Body, limit))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		r.deny(http.StatusRequestEntityTooLarge, "the body is over the configured limit", r.front.catalog.Load())
-		return false
-	case err != nil:
-		r.left("the body broke off")
-		r.abort()
-		return false
-	}
-	r.body = body
-	return true
-}
-
 // serve sends the request to one target after another until an answer is
 // delivered or nothing more may be tried.
 func (r *request) serve(ctx context.Context) {
--- a/internal/relay/mtfront/suspect.go
+++ b/internal/relay/mtfront/suspect.go
@@ -56,7 +56,7 @@
 // wholeRequest identifies requests of the same account, path and body.
 func (r *request) wholeRequest() mtcomponent.Component {
 	if r.wholeHash == 0 {
-		r.wholeHash = mtcomponent.Whole([]byte(r.account.GetName()), []byte(r.in.Method), []byte(r.in.Host), []byte(r.uri), r.body)
+		r.wholeHash = mtcomponent.WholeInPieces(r.body.Pieces(), []byte(r.account.GetName()), []byte(r.in.Method), []byte(r.in.Host), []byte(r.uri))
 	}
 	return r.wholeHash
 }
--- a/internal/relay/mtlink/link.go
+++ b/internal/relay/mtlink/link.go
@@ -45,6 +45,7 @@
 	unfinished atomic.Bool
 	// written receives the result of a body that is written asynchronously.
 	written  chan error
+	writing  atomic.Bool
 	body     *trackedBody
 	reusable bool
 }
@@ -75,34 +76,46 @@
 // Reused reports whether the connection has carried a request before.
 func (l *Link) Reused() bool { return l.reused }
 
-// Send writes one request. A long body is written by a goroutine that ends with the
+// Send writes one request, whose body is the pieces in their order. A long body is written by a goroutine that ends with the
 // connection or the body; Release returns the connection to the pool only if that
 // goroutine has ended.
-func (l *Link) Send(method, uri, host string, header http.Header, body []byte) error {
+func (l *Link) Send(method, uri, host string, header http.Header, body ...[]byte) error {
 	l.unfinished.Store(true)
 	var head bytes.Buffer
 	head.WriteString(method + " " + uri + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	if err := header.Write(&head); err != nil {
 		return trace.Wrap(err)
 	}
-	if len(body) > 0 || method == http.MethodPost || method == http.MethodPut {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
+	size := 0
+	for _, piece := range body {
+		size += len(piece)
+	}
+	if size > 0 || method == http.MethodPost || method == http.MethodPut {
+		head.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	if len(body) <= asyncWriteSize {
-		head.Write(body)
+	if size <= asyncWriteSize {
+		for _, piece := range body {
+			head.Write(piece)
+		}
 		_, err := l.conn.Write(head.Bytes())
 		return trace.Wrap(err)
 	}
 	l.written = make(chan error, 1)
+	l.writing.Store(true)
 	go func() {
-		buffers := net.Buffers{head.Bytes(), body}
+		// Writing consumes the list, which is needed again for another target.
+		buffers := append(net.Buffers{head.Bytes()}, body...)
 		_, err := buffers.WriteTo(l.conn)
+		l.writing.Store(false)
 		l.written <- err
 	}()
 	return nil
 }
 
+// Written reports whether the request is not being written any more, so that its body is not in use.
+func (l *Link) Written() bool { return !l.writing.Load() }
+
 // Receive reads the head of the response for which matches returns true. A target may send
 // a late second response to an earlier request where the next one is expected: it
 // belongs to no request and is skipped. The heads of all responses that are read together are
--- a/internal/request/mtcomponent/component.go
+++ b/internal/request/mtcomponent/component.go
@@ -27,14 +27,35 @@
 func Whole(fields ...[]byte) Component {
 	hash := xxh3.New()
 	for _, field := range fields {
-		var length [8]byte
-		binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
-		_, _ = hash.Write(length[:]) // A hash never fails.
-		_, _ = hash.Write(field)
+		writeField(hash, field)
 	}
 	return Component(hash.Sum64() | wholeBit)
 }
 
+// WholeInPieces is Whole where the last field is the pieces of a body.
+func WholeInPieces(body [][]byte, fields ...[]byte) Component {
+	hash := xxh3.New()
+	for _, field := range fields {
+		writeField(hash, field)
+	}
+	writeField(hash, body...)
+	return Component(hash.Sum64() | wholeBit)
+}
+
+// writeField hashes the length of a field and its pieces.
+func writeField(hash *xxh3.Hasher, pieces ...[]byte) {
+	var size uint64
+	for _, piece := range pieces {
+		size += uint64(len(piece))
+	}
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], size)
+	_, _ = hash.Write(length[:]) // A hash never fails.
+	for _, piece := range pieces {
+		_, _ = hash.Write(piece)
+	}
+}
+
 // IsWhole reports whether the component is a whole request.
 func (c Component) IsWhole() bool { return c&wholeBit != 0 }
 
--- a/internal/request/mtcomponent/component_test.go
+++ b/internal/request/mtcomponent/component_test.go
@@ -27,6 +27,10 @@
 	g := NewWithT(t)
 	g.Expect(mtcomponent.Whole([]byte("a"), []byte("bc"))).NotTo(Equal(mtcomponent.Whole([]byte("ab"), []byte("c"))))
 	g.Expect(mtcomponent.Whole([]byte("a"))).To(Equal(mtcomponent.Whole([]byte("a"))))
+	whole := mtcomponent.Whole([]byte("a"), []byte("body"))
+	for _, pieces := range [][][]byte{{[]byte("body")}, {[]byte("bo"), []byte("d"), []byte("y")}} {
+		g.Expect(mtcomponent.WholeInPieces(pieces, []byte("a"))).To(Equal(whole), "the pieces of a body don't matter")
+	}
 }
 
 func ExampleComponent_IsWhole() {
