Read the parts of a prompt once a request has come whole

Each part takes some hundred bytes once it is decoded, however short it is in the head, and it was decoded before the body was awaited.

Change: the parts are decoded after the body, and beyond 16 of them they are accounted for in the budget of requests first, with 256 bytes each. Requests of the users' sheets name three or four and take no lock more.

--- a/internal/relay/mtfront/receive.go
+++ b/internal/relay/mtfront/receive.go
@@ -11,9 +11,14 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtreservation"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/request/mtbody"
+	"github.com/mustardtide/mustardtide/platform/mtspeech"
 )
 
 const (
+	// partBytes is what one part of a prompt takes until its request ends, however short it is in the
+	// head. fewParts of them are part of what any request takes.
+	partBytes = 256
+	fewParts  = 16
 	// memoryAgain is when a caller whose request found no memory should ask again: the first bodies
 	// that wait are broken off or answered by then. Half of it is random.
 	memoryAgain = time.Second
@@ -32,6 +37,9 @@
 // receive reads the whole request, or refuses it.
 func (r *request) receive(ctx context.Context) bool {
 	err := r.readBody(ctx)
+	if err == nil {
+		err = r.decodeParts(ctx)
+	}
 	whole := r.memory.Received()
 	if err == nil && whole {
 		r.received = true
@@ -101,6 +109,19 @@
 
 func (h held) Progress() { h.memory.Progress() }
 
+// decodeParts reads the parts of the prompt, which take many times their bytes of the head, once the
+// request has come whole.
+func (r *request) decodeParts(ctx context.Context) error {
+	if count := mtspeech.CountParts(r.in.Header); count > fewParts {
+		r.openMemory()
+		if err := r.memory.Grow(ctx, int64(count)*partBytes); err != nil {
+			return err
+		}
+	}
+	mtspeech.DecodeParts(r.in.Header, r.ask)
+	return nil
+}
+
 // releaseBody releases a long body that no other target can get any more.
 func (r *request) releaseBody(link *mtlink.Link) {
 	if r.body.Held() < longBody || r.backup != nil || r.repeatable() && r.tries < int(r.route.GetAttempts()) || !link.Written() {
