Charge a request's account once the request has come whole

Callers of an account saw 429 while others of it kept unfinished bodies open: the cost was taken from the account's quota with the head, and came back at the request's deadline only.

Change: the charge follows the body. A request that never comes whole costs nothing. What it costs: a request over its quota is read before it is refused, within the budget of requests, and a draw of credit no longer overlaps with the body's arrival; bodies of the users' sheets come with their heads or a moment later.

TestOpenBodiesCostNothing: with 60 open bodies the next request of the account got 429 on the code before (1 of 1 run), and 200 now (3 of 3).

--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -130,7 +130,7 @@
 	}
 	r.prepare()
 	r.awaitStart()
-	if !r.resolve() || !r.charge() {
+	if !r.resolve() {
 		return
 	}
 	defer func() { r.memory.Release() }()
@@ -139,7 +139,9 @@
 	r.until = r.begun.Add(timeout)
 	ctx, cancel := context.WithDeadline(in.Context(), r.until)
 	defer cancel()
-	if !r.receive(ctx) || !r.resolveCharge(ctx) {
+	// A request is charged once it has come whole: one that never does must not hold its account's
+	// credit.
+	if !r.receive(ctx) || !r.charge() || !r.resolveCharge(ctx) {
 		return
 	}
 	if !r.takes(ctx) {
