Bound the connections of callers, and what they hold

Callers could take all descriptors of an entry, with connections on which nothing, half a head or nothing more came: under max_fds 600 it held 1,011 sockets, and could not have reached targets or the store. 2,400 open heads of 15 KB held 101 MB under a limit of 88 MB. Nothing counted connections, and a refused request's connection waited for the rest of its body without a bound.

Change: mtconnection is the table of callers' connections, a module without a network. Each counts with 20 KB, its head twice, and 44 KB while a request of it is served. Where the number or the memory is used up, another connection is closed: first those with a refusal that lingers; then those that have sent no whole request and take over a second for it; then those that rest, whose callers lose nothing by another connection; then slow ones that have sent a whole request before, those whose callers do not read their answers, and new ones. What is being served is kept: beyond that a connection or request is refused, with 503 and Retry-After where there is one to answer. A request that crosses its connection's close knows it, as before at a stop.

The order of resting before new ones is for callers that come beside a crowd of resting connections; slow ones go before them as closing these costs nothing that was begun.

--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -18,6 +18,7 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtallowance"
 	"github.com/mustardtide/mustardtide/internal/admission/mtcapacity"
 	"github.com/mustardtide/mustardtide/internal/admission/mtclosing"
+	"github.com/mustardtide/mustardtide/internal/admission/mtconnection"
 	"github.com/mustardtide/mustardtide/internal/admission/mtlimit"
 	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
 	"github.com/mustardtide/mustardtide/internal/admission/mtpromise"
@@ -134,8 +135,9 @@
 	crashTold atomic.Int64
 	asker     *http.Client
 
-	// memory bounds what requests hold.
-	memory *mtreservation.Budget
+	// memory bounds what requests hold, callers are the connections of callers.
+	memory  *mtreservation.Budget
+	callers *mtconnection.Table
 
 	mu         sync.Mutex
 	allowances map[string]*mtallowance.RetryBudget
@@ -176,6 +178,7 @@
 		asker:      &http.Client{Transport: network.Outside(), Timeout: askTime},
 		allowances: map[string]*mtallowance.RetryBudget{},
 		memory:     mtreservation.New(capacity.Requests()),
+		callers:    mtconnection.New(connectionLimits(capacity)),
 	}
 	f.start = mtstart.New(f.knowsEnough)
 	f.standbys = newStandbys(f)
@@ -280,6 +283,8 @@
 // sweep closes idle connections and drops targets that did not come back.
 func (f *Front) sweep(ctx context.Context) error {
 	logged := map[string]*fleetv1.Speed{}
+	closed := &closings{}
+	counted := time.Now()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -287,6 +292,10 @@
 		}
 		f.tellSpeeds(logged)
 		f.logLevels()
+		if time.Since(counted) >= closingsTime {
+			counted = time.Now()
+			f.logClosings(closed)
+		}
 		for _, id := range f.roster.Expire() {
 			f.trail.Warn(mtkind.TargetGone, zap.String("target", id), zap.String("why", "its entry did not come back after the store's outage"))
 			f.listed()
--- a/internal/relay/mtfront/holding.go
+++ b/internal/relay/mtfront/holding.go
@@ -1,9 +1,52 @@
 package mtfront
 
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/mustardtide/mustardtide/internal/admission/mtcapacity"
+	"github.com/mustardtide/mustardtide/internal/admission/mtconnection"
+	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
+)
+
+// closingsTime is how often it is logged that connections were closed.
+const closingsTime = time.Second
+
+// connectionLimits are those of callers' connections.
+func connectionLimits(c mtcapacity.Capacity) mtconnection.Limits {
+	return mtconnection.NewLimits(c.Callers(), c.Connections(), c.Unread())
+}
+
+// Callers are the connections of callers.
+func (f *Front) Callers() *mtconnection.Table { return f.callers }
+
+// closings is what was logged of closed connections.
+type closings struct{ crowded, head, idle, refused int64 }
+
+// logClosings logs how many connections were closed since the last call, if any were for want of
+// room: one line, however many clients there are.
+func (f *Front) logClosings(logged *closings) {
+	now := closings{
+		crowded: f.callers.Closed(mtconnection.CauseCrowded),
+		head:    f.callers.Closed(mtconnection.CauseHead),
+		idle:    f.callers.Closed(mtconnection.CauseIdle),
+		refused: f.callers.Refused(),
+	}
+	if now.crowded > logged.crowded || now.head > logged.head || now.refused > logged.refused {
+		f.trail.Warn(mtkind.ConnectionsClosed, zap.Int64("crowded", now.crowded-logged.crowded), zap.Int64("head", now.head-logged.head),
+			zap.Int64("idle", now.idle-logged.idle), zap.Int64("refused", now.refused-logged.refused),
+			zap.Int("open", f.callers.Count()), zap.Int64("bytes", f.callers.Bytes()))
+	}
+	*logged = now
+}
+
 // holdingGauges are what callers make the process hold, the limits of it, and what was refused and
-// broken off for them.
+// closed for them.
 func (f *Front) holdingGauges() {
 	set := f.trail.Metrics()
+	set.Gauge("caller_connections", func() int64 { return int64(f.callers.Count()) })
+	set.Gauge("caller_connection_bytes", f.callers.Bytes)
 	set.Gauge("request_bytes", f.memory.Used)
 	set.Gauge("request_bytes_limit", f.memory.Limit)
 	set.Gauge("requests_broken_off_total", func() int64 {
@@ -14,4 +57,8 @@
 		_, refused := f.memory.Counts()
 		return refused
 	})
+	set.Gauge("connections_refused_total", f.callers.Refused)
+	for _, cause := range []string{mtconnection.CauseCrowded, mtconnection.CauseHead, mtconnection.CauseIdle} {
+		set.Gauge(`connections_closed_total{cause="`+cause+`"}`, func() int64 { return f.callers.Closed(cause) })
+	}
 }
--- a/internal/relay/mtfront/receive.go
+++ b/internal/relay/mtfront/receive.go
@@ -11,6 +11,7 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtreservation"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/request/mtbody"
+	"github.com/mustardtide/mustardtide/internal/role/mtserver"
 	"github.com/mustardtide/mustardtide/platform/mtspeech"
 )
 
@@ -43,6 +44,7 @@
 	whole := r.memory.Received()
 	if err == nil && whole {
 		r.received = true
+		mtserver.Connection(r.in.Context()).Received()
 		return true
 	}
 	r.body = nil
@@ -147,6 +149,7 @@
 
 // linger reads on for a moment after a refusal of a request that has not come whole.
 func (r *request) linger() {
+	mtserver.Connection(r.in.Context()).Refused()
 	// A caller that has gone reads no refusal.
 	_ = r.control.Flush()
 	_ = r.control.SetReadDeadline(time.Now().Add(lingerTime))
--- a/internal/role/mtfleet/entry.go
+++ b/internal/role/mtfleet/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/mustardtide/mustardtide/internal/admission/mtconnection"
 	"github.com/mustardtide/mustardtide/internal/relay/mtfront"
 	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
@@ -31,15 +32,15 @@
 	if err := front.Without(without...); err != nil {
 		return trace.Wrap(err)
 	}
-	public, err := d.listen(d.site.GetPublic(), front)
+	public, err := d.listen(d.site.GetPublic(), front, front.Callers())
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	ready, err := d.listen(d.site.GetReady(), readiness(front))
+	ready, err := d.listen(d.site.GetReady(), readiness(front), mtconnection.New(mtconnection.Limits{}))
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	peer, err := d.listen(mtports.EntryCalls.At(d.site, d.site.GetAddress()), front.Peer())
+	peer, err := d.listen(mtports.EntryCalls.At(d.site, d.site.GetAddress()), front.Peer(), mtconnection.New(mtconnection.Limits{}))
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/role/mtfleet/run.go
+++ b/internal/role/mtfleet/run.go
@@ -23,6 +23,7 @@
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/admission/mtcapacity"
+	"github.com/mustardtide/mustardtide/internal/admission/mtconnection"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/observe/mtsink"
 	"github.com/mustardtide/mustardtide/internal/observe/mttrail"
@@ -82,15 +83,15 @@
 // metrics serves the process's counters.
 func (d *daemon) metrics() (*mtserver.Server, error) {
 	address := net.JoinHostPort(d.site.GetAddress(), strconv.Itoa(metricsPort))
-	return d.listen(address, d.trail.Metrics())
+	return d.listen(address, d.trail.Metrics(), mtconnection.New(mtconnection.Limits{}))
 }
 
-func (d *daemon) listen(address string, handler http.Handler) (*mtserver.Server, error) {
+func (d *daemon) listen(address string, handler http.Handler, table *mtconnection.Table) (*mtserver.Server, error) {
 	listener, err := d.network.Listen(address)
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on %s", address)
 	}
-	return mtserver.NewDirect(listener, handler), nil
+	return mtserver.NewDirect(listener, handler, table), nil
 }
 
 // serve runs the servers and the role until SIGTERM; drain then ends the role's
--- a/internal/role/mtserver/abort_test.go
+++ b/internal/role/mtserver/abort_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/mustardtide/mustardtide/internal/admission/mtconnection"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
 )
 
@@ -28,7 +29,7 @@
 			mtserver.Abort(w, in)
 		}
 		_, _ = io.WriteString(w, "whole")
-	}))
+	}), mtconnection.New(mtconnection.Limits{}))
 	ended := make(chan error, 1)
 	go func() { ended <- server.Start(context.Background()) }()
 	ask := func(path, version string) (string, error) {
--- a/internal/role/mtserver/resting_test.go
+++ b/internal/role/mtserver/guard_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/mustardtide/mustardtide/internal/admission/mtconnection"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
 )
 
@@ -30,7 +31,7 @@
 		}
 		crossed <- mtserver.Closed(in.Context())
 		_, _ = io.WriteString(w, "ok")
-	}))
+	}), mtconnection.New(mtconnection.Limits{}))
 	ended := make(chan error, 1)
 	go func() { ended <- server.Start(context.Background()) }()
 
