Bound the bytes that wait unread in sockets

On the users' instances bytes that were received and not read count as memory. The kernel's buffers grow to megabytes a connection: 200 bodies to a path without a route left 43 to 63 MB unread, callers that do not read their answers 186 MB on the connections to targets.

Change: the sockets have small buffers that do not grow. A connection that is not accepted yet holds 16 KB, and 512 of them may wait; an accepted one gets 64 KB while a tenth of the process's memory lasts for the sum, and less the more there are; one to a target for a caller's request 16 KB. Sends wait with 64 KB: with 32 KB one body of 4 MB took 7 s on loopback, whose segments are larger than that (0.3 s with 64 KB and above). What it costs: 64 KB in one way and back is the most a single caller can send, 4 MB in 1.3 s at 20 ms.

Ruled out: reading on and dropping what is refused, which costs processor time without an end.

--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -183,7 +183,7 @@
 	f.start = mtstart.New(f.knowsEnough)
 	f.standbys = newStandbys(f)
 	dials := trail.Metrics().Counter("target_connections_total")
-	f.pool = mtlink.NewPool(network.Dial, func() { dials.Inc(1) })
+	f.pool = mtlink.NewPool(network.DialTarget, func() { dials.Inc(1) })
 	f.gauges()
 	f.holdingGauges()
 	return f
--- a/internal/role/mtnet/net.go
+++ b/internal/role/mtnet/net.go
@@ -28,6 +28,8 @@
 type Net struct {
 	listen func(address string) (net.Listener, error)
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// narrow dials with small buffers, nil for dial.
+	narrow func(ctx context.Context, network, address string) (net.Conn, error)
 	server *tls.Config
 	client *tls.Config
 }
@@ -68,6 +70,14 @@
 	return n.dial(ctx, "tcp", address)
 }
 
+// DialTarget opens a connection for callers' requests, on which few bytes may wait unread.
+func (n *Net) DialTarget(ctx context.Context, address string) (net.Conn, error) {
+	if n.narrow == nil {
+		return n.Dial(ctx, address)
+	}
+	return n.narrow(ctx, "tcp", address)
+}
+
 // Scheme is the URL scheme of the internal listeners.
 func (n *Net) Scheme() string {
 	if n.client != nil {
--- a/internal/role/mtserver/guard.go
+++ b/internal/role/mtserver/guard.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mustardtide/mustardtide/internal/admission/mtconnection"
+	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 )
 
 // guard is a listener whose connections are those of a table.
@@ -29,6 +30,8 @@
 			_ = c.Close()
 			continue
 		}
+		// Where the system refuses, its own bound holds.
+		_ = mtnet.Widen(c, known.Buffer())
 		return &conn{Conn: c, known: known}, nil
 	}
 }
