Account for plain answers that are held

Callers that do not read their answers made an entry hold 256 KB of each plain one, beside the copies in its sockets: 400 of them held 98 MB under a limit of 88 MB.

Change: an answer that grows beyond its first 4 KB takes its buffer from the budget of requests, without breaking anybody off. Where there is none, what has come is passed on with the head and the rest as it comes; such an answer that breaks off ends with a cut connection instead of a clear failure, as one over 256 KB does.

--- a/internal/relay/mtfront/bound.go
+++ b/internal/relay/mtfront/bound.go
@@ -97,21 +97,26 @@
 	return maxPlain - wholeBody
 }
 
-// readHeld reads a plain answer up to wholeBody. An end of it is no error.
-func readHeld(response *http.Response) ([]byte, error) {
+// readHeld reads a plain answer up to wholeBody, or up to what there is memory for. It reports whether
+// the answer has ended, which is no error.
+func (r *request) readHeld(response *http.Response) ([]byte, bool, error) {
 	held := make([]byte, 0, firstRead)
 	for len(held) < wholeBody {
-		if len(held) == cap(held) {
-			held = append(make([]byte, 0, min(wholeBody, heldGrowth*cap(held))), held...)
+		if size := cap(held); len(held) == size {
+			larger := min(wholeBody, heldGrowth*size)
+			if !r.holdAnswer(size, larger) {
+				break
+			}
+			held = append(make([]byte, 0, larger), held...)
 		}
 		n, err := response.Body.Read(held[len(held):cap(held)])
 		held = held[:len(held)+n]
 		if errors.Is(err, io.EOF) {
-			return held, nil
+			return held, true, nil
 		}
 		if err != nil {
-			return held, err
+			return held, false, err
 		}
 	}
-	return held, nil
+	return held, false, nil
 }
--- a/internal/relay/mtfront/deliver.go
+++ b/internal/relay/mtfront/deliver.go
@@ -20,7 +20,8 @@
 
 const (
 	// wholeBody is the size up to which a plain answer is read before its head is
-	// passed on: one that breaks off can then still be replaced by a clear failure.
+	// passed on, while there is memory: one that breaks off can then still be replaced by a clear
+	// failure.
 	wholeBody = 256 << 10
 	// copySize is how much of a stream is passed on at once.
 	copySize = 16 << 10
@@ -61,12 +62,11 @@
 // whole reads a plain answer to its end and then passes it on.
 func (r *request) whole(ctx context.Context, choice *mtboard.Choice, link *mtlink.Link, response *http.Response, answer *fleetv1.Answer) result {
 	r.patience = nil
-	body, err := readHeld(response)
+	body, ended, err := r.readHeld(response)
 	if len(body) > 0 {
 		r.bodyAt = time.Now()
 	}
 	r.ending.Take(body)
-	ended := len(body) < wholeBody
 	if err == nil && ended {
 		err = io.EOF
 	}
--- a/internal/relay/mtfront/receive.go
+++ b/internal/relay/mtfront/receive.go
@@ -124,6 +124,19 @@
 	return nil
 }
 
+// holdAnswer lets a plain answer that is held grow, and reports whether there is memory.
+func (r *request) holdAnswer(from, to int) bool {
+	if r.memory == nil {
+		r.openMemory()
+		r.memory.Received()
+	}
+	if !r.memory.TryGrow(int64(to)) {
+		return false
+	}
+	r.memory.Shrink(int64(from))
+	return true
+}
+
 // releaseBody releases a long body that no other target can get any more.
 func (r *request) releaseBody(link *mtlink.Link) {
 	if r.body.Held() < longBody || r.backup != nil || r.repeatable() && r.tries < int(r.route.GetAttempts()) || !link.Written() {
