Bound the connections beside callers'

The addresses at which the balancer asks and metrics are read, and that for calls of other entries, took any number of connections: 811 sockets under a limit of 400. The pool kept 32 idle connections to each target, however many targets there are, and the calls of other entries were read whole, whatever their size.

Change: at most 32 connections each to the ready and metrics ports, where a request must have come within 5 s, as their handlers read no bodies and the server would wait for one; a sixteenth of the sockets for other entries, whose calls have 64 KB at most; and a sixteenth for idle connections to targets.

--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -184,6 +184,7 @@
 	f.standbys = newStandbys(f)
 	dials := trail.Metrics().Counter("target_connections_total")
 	f.pool = mtlink.NewPool(network.DialTarget, func() { dials.Inc(1) })
+	f.pool.BoundIdle(capacity.Idle())
 	f.gauges()
 	f.holdingGauges()
 	return f
--- a/internal/relay/mtfront/holding.go
+++ b/internal/relay/mtfront/holding.go
@@ -49,6 +49,7 @@
 	set.Gauge("caller_connection_bytes", f.callers.Bytes)
 	set.Gauge("request_bytes", f.memory.Used)
 	set.Gauge("request_bytes_limit", f.memory.Limit)
+	set.Gauge("target_connections_idle", func() int64 { return int64(f.pool.Idle()) })
 	set.Gauge("requests_broken_off_total", func() int64 {
 		broken, _ := f.memory.Counts()
 		return broken
--- a/internal/relay/mtfront/learn.go
+++ b/internal/relay/mtfront/learn.go
@@ -244,9 +244,12 @@
 	return connect.NewResponse(known), nil
 }
 
+// maxPeerRequest bounds what another entry asks, in bytes.
+const maxPeerRequest = 64 << 10
+
 // Peer is the handler for other entries.
 func (f *Front) Peer() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(fleetv1connect.NewPeerServiceHandler(f))
+	mux.Handle(fleetv1connect.NewPeerServiceHandler(f, connect.WithReadMaxBytes(maxPeerRequest)))
 	return mux
 }
--- a/internal/relay/mtlink/pool.go
+++ b/internal/relay/mtlink/pool.go
@@ -29,8 +29,13 @@
 type Pool struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
 
+	// maxIdle limits the idle connections to all targets, 0 for no limit.
+	maxIdle int
+
 	mu   sync.Mutex
 	idle map[string][]*Link
+	// kept is the number of idle connections.
+	kept int
 
 	dialed func()
 }
@@ -40,6 +45,16 @@
 	return &Pool{dial: dial, idle: map[string][]*Link{}, dialed: dialed}
 }
 
+// BoundIdle limits the idle connections to all targets, 0 for no limit. It is called before Take.
+func (p *Pool) BoundIdle(limit int) { p.maxIdle = limit }
+
+// Idle is the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.kept
+}
+
 // Take returns an idle connection that is still usable, or a new one. An error means that
 // nothing was sent.
 func (p *Pool) Take(ctx context.Context, address string) (*Link, error) {
@@ -74,6 +89,7 @@
 				kept = append(kept, link)
 			} else {
 				closing = append(closing, link)
+				p.kept--
 			}
 		}
 		p.idle[address] = kept
@@ -97,15 +113,17 @@
 	}
 	link := links[len(links)-1]
 	p.idle[address] = links[:len(links)-1]
+	p.kept--
 	return link
 }
 
 func (p *Pool) push(link *Link) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[link.address]) >= maxIdlePerTarget {
+	if len(p.idle[link.address]) >= maxIdlePerTarget || p.maxIdle > 0 && p.kept >= p.maxIdle {
 		return false
 	}
+	p.kept++
 	p.idle[link.address] = append(p.idle[link.address], link)
 	return true
 }
--- a/internal/role/mtfleet/entry.go
+++ b/internal/role/mtfleet/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/mustardtide/mustardtide/internal/admission/mtcapacity"
 	"github.com/mustardtide/mustardtide/internal/admission/mtconnection"
 	"github.com/mustardtide/mustardtide/internal/relay/mtfront"
 	"github.com/mustardtide/mustardtide/internal/relay/mtports"
@@ -36,11 +37,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	ready, err := d.listen(d.site.GetReady(), readiness(front), mtconnection.New(mtconnection.Limits{}))
+	ready, err := d.listenSide(d.site.GetReady(), readiness(front))
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	peer, err := d.listen(mtports.EntryCalls.At(d.site, d.site.GetAddress()), front.Peer(), mtconnection.New(mtconnection.Limits{}))
+	peer, err := d.listen(mtports.EntryCalls.At(d.site, d.site.GetAddress()), front.Peer(), mtconnection.New(mtconnection.NewLimits(mtcapacity.Of(d.site).Peers(), 0, 0)))
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/role/mtfleet/run.go
+++ b/internal/role/mtfleet/run.go
@@ -40,6 +40,8 @@
 	dialTime = 300 * time.Millisecond
 	// closeTime is left at the end of the grace time to close connections.
 	closeTime = 300 * time.Millisecond
+	// sideTime is how long a request to a port beside the callers' may take to come.
+	sideTime = 5 * time.Second
 )
 
 // Active says that the platform has given this process its settings.
@@ -83,7 +85,17 @@
 // metrics serves the process's counters.
 func (d *daemon) metrics() (*mtserver.Server, error) {
 	address := net.JoinHostPort(d.site.GetAddress(), strconv.Itoa(metricsPort))
-	return d.listen(address, d.trail.Metrics(), mtconnection.New(mtconnection.Limits{}))
+	return d.listenSide(address, d.trail.Metrics())
+}
+
+// listenSide serves a port that the platform or an operator asks now and then.
+func (d *daemon) listenSide(address string, handler http.Handler) (*mtserver.Server, error) {
+	server, err := d.listen(address, handler, mtconnection.New(mtconnection.NewLimits(mtcapacity.Of(d.site).Side(), 0, 0)))
+	if err != nil {
+		return nil, err
+	}
+	server.BoundRequests(sideTime)
+	return server, nil
 }
 
 func (d *daemon) listen(address string, handler http.Handler, table *mtconnection.Table) (*mtserver.Server, error) {
