Hold clients to the configured head size, head time and idle time

Of the configuration's limits only that of bodies was used: heads could have 64 KB and 10 s, connections rest for 2 minutes, whatever the operators said (the users' 16 KB, 3 s and 15 s). An open head or a resting connection held its memory and descriptor for so much longer.

Change: the table of connections closes heads and resting connections beyond the configured times once a second, and answers a larger head with 431. Where that was not done for 3 s the process stood still, and nothing is closed: what came meanwhile is still to be read. Without configured limits the bounds are as before.

--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -285,7 +285,7 @@
 func (f *Front) sweep(ctx context.Context) error {
 	logged := map[string]*fleetv1.Speed{}
 	closed := &closings{}
-	counted := time.Now()
+	expired := time.Now()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -293,8 +293,9 @@
 		}
 		f.tellSpeeds(logged)
 		f.logLevels()
-		if time.Since(counted) >= closingsTime {
-			counted = time.Now()
+		if time.Since(expired) >= expireTime {
+			expired = time.Now()
+			f.expireCallers()
 			f.logClosings(closed)
 		}
 		for _, id := range f.roster.Expire() {
--- a/internal/relay/mtfront/holding.go
+++ b/internal/relay/mtfront/holding.go
@@ -10,8 +10,12 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 )
 
-// closingsTime is how often it is logged that connections were closed.
-const closingsTime = time.Second
+const (
+	// expireTime is how often connections are looked at for their times.
+	expireTime = time.Second
+	// lateExpire is when that was not done for so long that the process stood still.
+	lateExpire = 3 * expireTime
+)
 
 // connectionLimits are those of callers' connections.
 func connectionLimits(c mtcapacity.Capacity) mtconnection.Limits {
@@ -21,6 +25,17 @@
 // Callers are the connections of callers.
 func (f *Front) Callers() *mtconnection.Table { return f.callers }
 
+// expireCallers closes connections that take longer than the configuration allows.
+func (f *Front) expireCallers() {
+	catalog := f.catalog.Load()
+	if catalog == nil {
+		return
+	}
+	limits := catalog.Limits()
+	f.callers.BoundHead(limits.GetHeader())
+	f.callers.Expire(limits.GetHead().AsDuration(), limits.GetIdle().AsDuration(), lateExpire)
+}
+
 // closings is what was logged of closed connections.
 type closings struct{ crowded, head, idle, refused int64 }
 
