Take in changed limits at SIGHUP

Change: the runtime's limit, the budget of requests and the table of callers' connections are resized. What is held beyond lower limits is given up as others need it, and no connection is cut for the change itself. The ports beside the callers' and the pool keep the bounds of the start.

--- a/internal/relay/mtfront/holding.go
+++ b/internal/relay/mtfront/holding.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/admission/mtcapacity"
 	"github.com/mustardtide/mustardtide/internal/admission/mtconnection"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
@@ -25,6 +26,14 @@
 // Callers are the connections of callers.
 func (f *Front) Callers() *mtconnection.Table { return f.callers }
 
+// Resize takes in settings with other limits. What is held beyond lower ones is kept until its
+// requests end.
+func (f *Front) Resize(site *fleetv1.Site) {
+	capacity := mtcapacity.Of(site)
+	f.memory.Resize(capacity.Requests())
+	f.callers.Resize(connectionLimits(capacity))
+}
+
 // expireCallers closes connections that take longer than the configuration allows.
 func (f *Front) expireCallers() {
 	catalog := f.catalog.Load()
--- a/internal/role/mtfleet/entry.go
+++ b/internal/role/mtfleet/entry.go
@@ -53,7 +53,7 @@
 		// An error says that requests outlast the grace time; the servers' end cuts
 		// them.
 		_ = front.Drain(ctx, public)
-	})
+	}, front.Resize)
 }
 
 func readiness(front *mtfront.Front) http.Handler {
--- a/internal/role/mtfleet/run.go
+++ b/internal/role/mtfleet/run.go
@@ -108,12 +108,12 @@
 
 // serve runs the servers and the role until SIGTERM; drain then ends the role's
 // work within the grace time.
-func (d *daemon) serve(servers []*mtserver.Server, role func(context.Context) error, drain func(context.Context)) error {
+func (d *daemon) serve(servers []*mtserver.Server, role func(context.Context) error, drain func(context.Context), resize func(*fleetv1.Site)) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ends := make(chan error, 2)
 	go func() { ends <- role(ctx) }()
-	go func() { ends <- d.reload(ctx) }()
+	go func() { ends <- d.reload(ctx, resize) }()
 	logging, endLog := context.WithCancel(context.Background())
 	logged := make(chan error, 1)
 	go func() { logged <- d.sink.Run(logging) }()
@@ -148,9 +148,10 @@
 	return trace.Wrap(err)
 }
 
-// reload reads the settings again when SIGHUP says that they have changed. The
-// default action of that signal would end the process.
-func (d *daemon) reload(ctx context.Context) error {
+// reload reads the settings again when SIGHUP says that they have changed, and passes them to resize
+// for its limits; the others are those of the start. The default action of that signal would end the
+// process.
+func (d *daemon) reload(ctx context.Context, resize func(*fleetv1.Site)) error {
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP)
 	defer signal.Stop(hups)
@@ -164,6 +165,8 @@
 				d.trail.Warn(mtkind.FleetReloaded, zap.Error(err), zap.String("outcome", "the settings read before stay in force"))
 				continue
 			}
+			limitRuntime(site)
+			resize(site)
 			d.trail.Say(mtkind.FleetReloaded, zap.Bool("changed", site.String() != d.site.String()))
 		}
 	}
--- a/internal/role/mtfleet/sidecar.go
+++ b/internal/role/mtfleet/sidecar.go
@@ -5,6 +5,7 @@
 
 	"github.com/gravitational/trace"
 
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/relay/mtbeside"
 	"github.com/mustardtide/mustardtide/internal/relay/mtports"
 	"github.com/mustardtide/mustardtide/internal/relay/mtpulse"
@@ -27,5 +28,5 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return d.serve([]*mtserver.Server{metrics}, sidecar.Run, func(context.Context) {})
+	return d.serve([]*mtserver.Server{metrics}, sidecar.Run, func(context.Context) {}, func(*fleetv1.Site) {})
 }
