Stop without waiting for bodies that never end

Change: the wait is for requests that have come whole. What is still coming when these are over is answered with 503, not run, so that its callers send it to another entry.

--- a/internal/admission/mtreservation/budget.go
+++ b/internal/admission/mtreservation/budget.go
@@ -89,6 +89,43 @@
 	return b.broken, b.refused
 }
 
+// Receiving is the number of reservations whose requests are still being received.
+func (b *Budget) Receiving() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for _, a := range b.accounts {
+		for r := range a.receiving {
+			if !r.broken {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// BreakOff breaks off all reservations whose requests are still being received.
+func (b *Budget) BreakOff() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, a := range b.accounts {
+		for r := range a.receiving {
+			if !r.broken {
+				b.breakOff(r)
+			}
+		}
+	}
+}
+
+// breakOff ends the reading of a reservation's request; the budget is locked.
+func (b *Budget) breakOff(r *Reservation) {
+	r.broken = true
+	b.breaking += r.held
+	b.broken++
+	r.stop()
+	b.wake()
+}
+
 // Largest is the most that one reservation of an account may hold; 0 for no bound.
 func (b *Budget) Largest(account string) int64 {
 	b.mu.Lock()
@@ -296,11 +333,7 @@
 		if candidate == nil {
 			return false
 		}
-		candidate.broken = true
-		b.breaking += candidate.held
-		b.broken++
-		candidate.stop()
-		b.wake()
+		b.breakOff(candidate)
 	}
 	return true
 }
--- a/internal/relay/mtfront/drain.go
+++ b/internal/relay/mtfront/drain.go
@@ -78,6 +78,8 @@
 	doors.CloseResting()
 	f.emptied(ctx)
 	f.taking.Store(int32(takingNone))
+	// Bodies that have not come by now may never do; their callers can send them to another entry.
+	f.memory.BreakOff()
 	return doors.Shutdown(ctx)
 }
 
@@ -91,11 +93,11 @@
 }
 
 // emptied returns once the requests are over that were taken while the entry
-// took all.
+// took all, but for those whose bodies are still coming.
 func (f *Front) emptied(ctx context.Context) {
 	ticks := time.NewTicker(emptyTime)
 	defer ticks.Stop()
-	for f.live.Load() > 0 {
+	for f.live.Load() > int64(f.memory.Receiving()) {
 		select {
 		case <-ctx.Done():
 			return
