Bound what log lines hold of callers' texts

Request ids, hosts and paths went into log lines as long as they came, up to the size of a head: a caller with ids of 16 KB filled the 512 KB that wait for the log's output with 32 lines, so that lines of other requests were dropped.

Change: 128 bytes of each. The number of lines a second was bounded before. Not run: a test of a flood of such lines.

--- a/internal/relay/mtfront/refuse.go
+++ b/internal/relay/mtfront/refuse.go
@@ -75,7 +75,7 @@
 // deny refuses a request that the configuration does not allow.
 func (r *request) deny(status int, why string, catalog *mtcatalog.Catalog) {
 	r.front.trail.Warn(mtkind.RequestRejected, append(r.fields(), zap.String("why", why), zap.Int("status", status),
-		zap.Int64("configuration", catalog.Version()), zap.String("host", r.in.Host), zap.String("path", r.in.URL.Path))...)
+		zap.Int64("configuration", catalog.Version()), zap.String("host", clip(r.in.Host)), zap.String("path", clip(r.in.URL.Path)))...)
 	r.write(status, why)
 }
 
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -359,13 +359,18 @@
 	if r.ask.GetBegun() == "" && last == "" {
 		return nil
 	}
-	return []zap.Field{zap.String("begun", r.ask.GetBegun()), zap.String("after", last)}
+	return []zap.Field{zap.String("begun", clip(r.ask.GetBegun())), zap.String("after", clip(last))}
 }
 
+// maxLogged bounds what a log line holds of a text that a caller chose.
+const maxLogged = 128
+
+func clip(text string) string { return text[:min(len(text), maxLogged)] }
+
 // fields name the request in a log line.
 func (r *request) fields() []zap.Field {
 	return []zap.Field{
-		zap.String("request", r.ask.GetId()),
+		zap.String("request", clip(r.ask.GetId())),
 		zap.String("route", r.route.GetName()),
 		zap.String("account", r.account.GetName()),
 		zap.Duration("age", time.Since(r.begun)),
