Allocate an announced body as it comes on the own interface

An entry of the product's own interface allocated the announced length of a body, up to the largest of its services, before the first byte had come: a client held 64 MB with a head.

Change: 64 KB at first, and growing from there. The sum of bodies, and the connections, have no bound on this interface yet.

--- a/internal/outside/mtcaller/request.go
+++ b/internal/outside/mtcaller/request.go
@@ -3,6 +3,7 @@
 package mtcaller
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -67,14 +68,17 @@
 	return request.model()
 }
 
-// readBody reads a body into one allocation where its length is told.
+// firstRead is the most that is allocated before any of a body has come.
+const firstRead = 64 << 10
+
+// readBody reads a body, into one allocation where its length is told and small.
 func readBody(body io.Reader, told, limit int64) ([]byte, error) {
-	if told < 0 || told > limit {
-		return io.ReadAll(body)
+	var data bytes.Buffer
+	if told >= 0 && told <= limit {
+		data.Grow(int(min(told, firstRead)) + bytes.MinRead)
 	}
-	data := make([]byte, told)
-	_, err := io.ReadFull(body, data)
-	return data, err
+	_, err := data.ReadFrom(body)
+	return data.Bytes(), err
 }
 
 // Name is the model or service that the caller asks for.
--- a/internal/request/mtbody/body_test.go
+++ b/internal/request/mtbody/body_test.go
@@ -91,3 +91,24 @@
 	fmt.Println(body, err)
 	// Output: 8 bytes in 1 pieces <nil>
 }
+
+// The body of an ordinary request, read into pieces and as a slice that grows.
+func BenchmarkOrdinaryBody(b *testing.B) {
+	text := strings.Repeat("x", 9200)
+	b.Run("pieces", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := mtbody.Read(strings.NewReader(text), int64(len(text)), limit, &counter{bound: limit}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("slice", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := io.ReadAll(strings.NewReader(text)); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
