Keep a stop from cutting answers that are held

With it: a refusal does not ask a caller with Expect: 100-continue for its body; and other entries get an eighth of the sockets instead of a sixteenth, as each of 356 entries may hold a connection to this one.

--- a/internal/admission/mtcapacity/capacity.go
+++ b/internal/admission/mtcapacity/capacity.go
@@ -23,7 +23,7 @@
 	parts           = 16
 	callerParts     = 6
 	idleParts       = 1
-	peerParts       = 1
+	peerParts       = 2
 )
 
 // sidePorts bounds the connections to a port that the platform or an operator asks now and then.
--- a/internal/admission/mtreservation/budget.go
+++ b/internal/admission/mtreservation/budget.go
@@ -143,7 +143,7 @@
 
 // Open returns a reservation without bytes for a request that is being received. stop is called at
 // most once, before Received, if the reservation is broken off: it must end the request's reading
-// and must not call the budget.
+// and must not call the budget. It is nil for a request that has come whole.
 func (b *Budget) Open(name string, stop func()) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -154,8 +154,9 @@
 	}
 	a.open++
 	r := &Reservation{budget: b, name: name, account: a, stop: stop, since: time.Now()}
-	r.progress.Store(int64(0))
-	a.receiving[r] = struct{}{}
+	if stop != nil {
+		a.receiving[r] = struct{}{}
+	}
 	return r
 }
 
--- a/internal/relay/mtfront/receive.go
+++ b/internal/relay/mtfront/receive.go
@@ -127,8 +127,7 @@
 // holdAnswer lets a plain answer that is held grow, and reports whether there is memory.
 func (r *request) holdAnswer(from, to int) bool {
 	if r.memory == nil {
-		r.openMemory()
-		r.memory.Received()
+		r.memory = r.front.memory.Open(r.account.GetName(), nil)
 	}
 	if !r.memory.TryGrow(int64(to)) {
 		return false
@@ -148,9 +147,10 @@
 	r.body = nil
 }
 
-// readRest reads what is left of a small body before a refusal.
+// readRest reads what is left of a small body before a refusal, unless its caller waits to be asked
+// for it.
 func (r *request) readRest() {
-	if r.received || r.in.ContentLength > restBody {
+	if r.received || r.in.ContentLength > restBody || r.in.Header.Get("Expect") != "" {
 		return
 	}
 	_ = r.control.SetReadDeadline(time.Now().Add(restTime))
