Draw credit while a request's body comes

Cause: the charge followed the body, so that an entry without credit began to draw it after the body instead of beside it, and waits 15 ms for it at most.

Change: the charge goes with the head again. A body that takes over 100 ms gives the credit back and is charged anew once it has come.

--- a/internal/relay/mtfront/quota.go
+++ b/internal/relay/mtfront/quota.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +18,10 @@
 // the way to another data centre and back.
 const creditTime = 15 * time.Millisecond
 
+// bodyTime is how long a request's credit is held for its body: bodies of ordinary requests come with
+// their heads or a moment later.
+const bodyTime = 100 * time.Millisecond
+
 const (
 	// quotaLogTime is how often it is looked which accounts are over their quotas.
 	quotaLogTime = 500 * time.Millisecond
@@ -143,6 +148,39 @@
 	return r.charged(verdict)
 }
 
+// receiveCharged charges the request and reads it whole, or refuses it. Credit is drawn while the body
+// comes. A body that takes longer gives its credit back and is charged once it has come: one that
+// never does must not hold its account's credit.
+func (r *request) receiveCharged(ctx context.Context) bool {
+	if r.account.GetRate() <= 0 || r.ask.GetGarbled() {
+		// There is no quota, or the cost is known with the parts alone.
+		return r.receive(ctx) && r.charge()
+	}
+	if !r.charge() {
+		return false
+	}
+	returned := make(chan struct{})
+	timer := time.AfterFunc(bodyTime, func() {
+		defer close(returned)
+		r.refund()
+		r.ticket, r.cost = nil, 0
+	})
+	late := sync.OnceValue(func() bool {
+		if timer.Stop() {
+			return false
+		}
+		<-returned
+		return true
+	})
+	// A body that breaks off ends the request in receive.
+	defer late()
+	whole := r.receive(ctx)
+	if late() && whole {
+		return r.charge()
+	}
+	return whole
+}
+
 // resolveCharge waits for drawn credit for a moment, and decides.
 func (r *request) resolveCharge(ctx context.Context) bool {
 	if r.ticket == nil {
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -139,9 +139,7 @@
 	r.until = r.begun.Add(timeout)
 	ctx, cancel := context.WithDeadline(in.Context(), r.until)
 	defer cancel()
-	// A request is charged once it has come whole: one that never does must not hold its account's
-	// credit.
-	if !r.receive(ctx) || !r.charge() || !r.resolveCharge(ctx) {
+	if !r.receiveCharged(ctx) || !r.resolveCharge(ctx) {
 		return
 	}
 	if !r.takes(ctx) {
