Simplify the bookkeeping of reservations and connections

A reservation that is broken off leaves the list of those being received, and its account counts what it still holds: three loops no longer skip broken ones, and the bytes an account is about to release are not summed up anew at each refusal. Closing a connection stands in one place for a stop and for want of room, ending the reading of a body in one function for the refusals of server and entry. Largest and the accessors of Limits had no user. Behaviour, bounds and tests are as before.

--- a/internal/admission/mtconnection/table.go
+++ b/internal/admission/mtconnection/table.go
@@ -48,15 +48,6 @@
 	return Limits{count: count, bytes: bytes, buffers: buffers}
 }
 
-// Count is the number of connections.
-func (l Limits) Count() int { return l.count }
-
-// Bytes are those that connections take.
-func (l Limits) Bytes() int64 { return l.bytes }
-
-// Buffers are the bytes that may wait unread.
-func (l Limits) Buffers() int64 { return l.buffers }
-
 // Table is the connections of one process. It is safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
@@ -174,6 +165,11 @@
 // close ends a connection for a cause; the table is locked.
 func (t *Table) close(c *Connection, cause string) {
 	t.closed[cause]++
+	t.cut(c)
+}
+
+// cut ends a connection; the table is locked.
+func (t *Table) cut(c *Connection) {
 	c.crossed.Store(true)
 	t.remove(c)
 	c.end()
@@ -196,9 +192,7 @@
 	defer t.mu.Unlock()
 	for c := range t.open {
 		if c.state == resting {
-			c.crossed.Store(true)
-			t.remove(c)
-			c.end()
+			t.cut(c)
 		}
 	}
 }
--- a/internal/admission/mtreservation/budget.go
+++ b/internal/admission/mtreservation/budget.go
@@ -50,6 +50,8 @@
 // account is what the reservations of one client account hold.
 type account struct {
 	held int64
+	// breaking is the part of held that is held by reservations that were broken off.
+	breaking int64
 	// open counts its reservations; receiving are those that can be broken off.
 	open      int
 	receiving map[*Reservation]struct{}
@@ -95,11 +97,7 @@
 	defer b.mu.Unlock()
 	count := 0
 	for _, a := range b.accounts {
-		for r := range a.receiving {
-			if !r.broken {
-				count++
-			}
-		}
+		count += len(a.receiving)
 	}
 	return count
 }
@@ -110,9 +108,7 @@
 	defer b.mu.Unlock()
 	for _, a := range b.accounts {
 		for r := range a.receiving {
-			if !r.broken {
-				b.breakOff(r)
-			}
+			b.breakOff(r)
 		}
 	}
 }
@@ -120,19 +116,15 @@
 // breakOff ends the reading of a reservation's request; the budget is locked.
 func (b *Budget) breakOff(r *Reservation) {
 	r.broken = true
+	delete(r.account.receiving, r)
+	r.account.breaking += r.held
 	b.breaking += r.held
 	b.broken++
 	r.stop()
 	b.wake()
 }
 
-// Largest is the most that one reservation of an account may hold; 0 for no bound.
-func (b *Budget) Largest(account string) int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.largest(account)
-}
-
+// largest is the most that one reservation of an account may hold.
 func (b *Budget) largest(account string) int64 {
 	share := largeShare
 	if account != "" {
@@ -272,6 +264,7 @@
 	}
 	r.released = true
 	if r.broken {
+		r.account.breaking -= r.held
 		b.breaking -= r.held
 	}
 	r.add(-r.held)
@@ -316,13 +309,7 @@
 	if r.name == "" {
 		return 0
 	}
-	held := r.account.held
-	for other := range r.account.receiving {
-		if other.broken {
-			held -= other.held
-		}
-	}
-	return held + n - int64(float64(b.limit)*accountShare)
+	return r.account.held - r.account.breaking + n - int64(float64(b.limit)*accountShare)
 }
 
 // makeRoom breaks off others until n more bytes of a reservation fit, and reports false where these
@@ -365,7 +352,7 @@
 	var found *Reservation
 	most := 0.0
 	for r := range a.receiving {
-		if r == except || r.broken || r.held == 0 {
+		if r == except || r.held == 0 {
 			continue
 		}
 		if cost := r.cost(now); found == nil || cost > most {
--- a/internal/relay/mtfront/receive.go
+++ b/internal/relay/mtfront/receive.go
@@ -97,7 +97,7 @@
 // openMemory lets what the request holds count. It can be broken off until the request is received.
 func (r *request) openMemory() {
 	if r.memory == nil {
-		r.memory = r.front.memory.Open(r.account.GetName(), func() { _ = r.control.SetReadDeadline(time.Unix(1, 0)) })
+		r.memory = r.front.memory.Open(r.account.GetName(), func() { mtserver.StopReading(r.control) })
 	}
 }
 
@@ -168,5 +168,5 @@
 	_ = r.control.SetReadDeadline(time.Now().Add(lingerTime))
 	_, _ = io.CopyN(io.Discard, r.in.Body, lingerBody)
 	// The server would read on without a bound of time.
-	_ = r.control.SetReadDeadline(time.Unix(1, 0))
+	mtserver.StopReading(r.control)
 }
--- a/internal/role/mtserver/guard.go
+++ b/internal/role/mtserver/guard.go
@@ -127,12 +127,18 @@
 			w.Header().Set("Retry-After", fullAgain)
 			http.Error(w, "too many requests are being served", http.StatusServiceUnavailable)
 			// The server would wait for the rest of the body.
-			_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+			StopReading(http.NewResponseController(w))
 			return
 		}
 		handler.ServeHTTP(w, in)
 	})
 }
 
+// StopReading ends the reading of a request's body, now and from now on.
+func StopReading(control *http.ResponseController) {
+	// A writer without deadlines is a test's recorder.
+	_ = control.SetReadDeadline(time.Unix(1, 0))
+}
+
 // fullAgain is when a caller that found no room should ask again, in seconds.
 const fullAgain = "1"
