Name the expected instance in every request

Callers of one service got answers of another.

Cause: a send to a "successor" of the listed program left without Mustardtide-Expect-Instance. That the program is of the same service was taken from the sidecar's report, which named the service of the settings file as read at the sidecar's start, whatever runs at the address. The engines' record shows two 421 for the listed id and then runs without any id, from the first state with a later born on. Ruled out: a late list alone (the sends would name the gone engine and get 421), kept connections (they end with the program). The log named the chosen target and not the id that was sent; request-sent has it now.

Change: every request names an id. A program is taken for the listed one's successor only if it answered the sidecar sooner after its predecessor's last sign of life than an address may change hands (mtlineage); the sidecar asks it once for its id and tells both. A program of known id that is not related to the listed one is left out without a request. State.service is gone: a settings file that changes, with or without SIGHUP, makes no difference. Orders name the id that the engine itself has given. A failed report is repeated after 20 ms.

--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -18,6 +18,7 @@
 	EngineLost         Kind = 7019
 	EngineBack         Kind = 7020
 	EngineBorn         Kind = 7021
+	EngineOther        Kind = 7022
 	RequestSent        Kind = 7030
 	RequestDone        Kind = 7031
 	RequestRejected    Kind = 7032
@@ -79,6 +80,7 @@
 	EngineLost:         {"engine-lost", "the engine beside the sidecar does not answer"},
 	EngineBack:         {"engine-back", "the engine beside the sidecar answers again"},
 	EngineBorn:         {"engine-born", "the engine beside the sidecar has started anew: its cache is empty"},
+	EngineOther:        {"engine-other", "another program than the listed one answers beside the sidecar: related says that it is of the same service, as the address can't have changed hands"},
 	RequestSent:        {"request-sent", "a request was sent to a target, chosen for the reasons named"},
 	RequestDone:        {"request-done", "a caller has its whole answer"},
 	RequestRejected:    {"request-rejected", "a request that has not run was refused"},
--- a/internal/placement/mtboard/backup.go
+++ b/internal/placement/mtboard/backup.go
@@ -64,7 +64,7 @@
 	if c.id == first.id || c.address == first.address || e.whyUnfit(c) != unfitNone || !r.fresh() {
 		return false
 	}
-	if r.target.GetDatacentre() != e.board.datacentre || r.build() != first.build || r.hasSuccessor() || r.replaced {
+	if r.target.GetDatacentre() != e.board.datacentre || r.build() != first.build || r.successor != "" || r.replaced {
 		return false
 	}
 	// An engine on older weights than the newest is about to load these.
@@ -120,7 +120,7 @@
 	c, r := b.choice, b.choice.record
 	c.board.mu.Lock()
 	defer c.board.mu.Unlock()
-	if c.board.records[c.id] != r || c.query.wrongBuild(r) || r.build() != b.first.build || r.hasSuccessor() || !r.usable() {
+	if c.board.records[c.id] != r || c.query.wrongBuild(r) || r.build() != b.first.build || r.successor != "" || !r.usable() {
 		return nil
 	}
 	if r.target.GetAddress() != c.address || r.weightsVersion(c.query.model()) != b.first.version {
@@ -131,7 +131,7 @@
 	c.matched = c.query.ask.GetPrompt()
 	c.work = mtspeed.NewWork(0, 0)
 	c.expected = c.speed.Time(mtspeed.Start)
-	c.build, c.born = r.build(), r.startMillis()
+	c.expectedID, c.build, c.born = c.id, r.build(), r.startMillis()
 	c.sentAt = time.Now()
 	r.running++
 	return c
--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -8,6 +8,7 @@
 package mtboard
 
 import (
+	"cmp"
 	"math"
 	"strings"
 	"sync"
@@ -29,10 +30,6 @@
 // data centre, so that two lost datagrams make no difference.
 const stateTTL = 2500 * time.Millisecond
 
-// successorTTL is how long a sidecar's report holds that a newer program of the service runs at
-// the listed address. It is shorter than the time after which a platform reuses an address.
-const successorTTL = time.Second
-
 // Board is the entry's view of the targets. It is safe for concurrent use.
 type Board struct {
 	datacentre string
@@ -113,9 +110,9 @@
 	latency  latencyRatio
 	// wrongProgram reports whether another program answers at the address.
 	wrongProgram bool
-	// successorSeen is when the sidecar last reported that this program is of the same service
-	// and was started after the listed one.
-	successorSeen time.Time
+	// successor is the id of a program of the same service that runs at the address in place of the
+	// listed one, "" if the sidecar has identified none.
+	successor string
 	// replaced reports whether another program was listed at the address later. A forged entry
 	// may claim so falsely.
 	replaced bool
@@ -171,8 +168,8 @@
 			}
 			continue
 		}
-		if r.target.GetAddress() != target.GetAddress() {
-			r.wrongProgram, r.hostHash = false, hashHost(target)
+		if r.target.GetAddress() != target.GetAddress() || r.target.GetBorn() != target.GetBorn() {
+			r.wrongProgram, r.successor, r.hostHash = false, "", hashHost(target)
 		}
 		r.target = target
 	}
@@ -211,11 +208,11 @@
 		return
 	}
 	r.lastHeartbeat, r.heartbeatSeen = r.stateAt, true
-	if born := r.target.GetBorn(); born > 0 && state.GetReport().GetBorn() > born && state.GetService() == r.target.GetService() {
-		r.successorSeen, r.wrongProgram = r.stateAt, false
-	}
+	r.noteProgram(state)
 	r.backoffUntil, r.unansweredProbes = time.Time{}, 0
-	b.applyCacheChanges(r, state)
+	if !r.wrongProgram {
+		b.applyCacheChanges(r, state)
+	}
 }
 
 // noteStart records when a target's program was started. What an earlier program announced about
@@ -271,12 +268,16 @@
 }
 
 // FillHello sets in a hello which changes of the target's cache are known, whether they are
-// followed, and how many tokens this entry has sent to the target that are not yet prefilled.
+// followed, and how many tokens this entry has sent to the target that are not yet prefilled. It
+// drops the path of the health check if the sidecar knows the target's id.
 func (b *Board) FillHello(hello *fleetv1.Hello) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.records[hello.GetTarget()]; r != nil {
 		hello.Epoch, hello.Since, hello.Pending, hello.Bare = r.epoch, r.appliedUpTo, r.backlog.Queued(), !r.followed
+		if r.state.GetIdentified() {
+			hello.Health = ""
+		}
 		if hello.Ranked = b.ranked[r.target.GetService()]; hello.GetRanked() {
 			hello.Backlog = r.backlog.Message()
 		}
@@ -296,10 +297,23 @@
 	return most
 }
 
-// hasSuccessor reports whether the program at the address is the successor of the listed one, not
-// yet listed itself: that takes seconds when a whole fleet restarts. The sidecar of its instance
-// confirms its service, and no other program can get the address that soon.
-func (r *record) hasSuccessor() bool { return time.Since(r.successorSeen) < successorTTL }
+// noteProgram records which program the sidecar has identified at the address. A successor of the
+// listed one is listed itself only seconds later when a whole fleet restarts, or when the store is
+// back. A program that is not related to it may be of another service.
+func (r *record) noteProgram(state *fleetv1.State) {
+	switch {
+	case !state.GetIdentified():
+	case state.GetProgram() == "":
+		r.successor, r.wrongProgram = "", false
+	case state.GetRelated():
+		r.successor, r.wrongProgram = state.GetProgram(), false
+	default:
+		r.successor, r.wrongProgram = "", true
+	}
+}
+
+// expectedID returns the id that the program at the address must have.
+func (r *record) expectedID() string { return cmp.Or(r.successor, r.target.GetId()) }
 
 // build returns the software version of the program at the address, "" if it is unknown, as after
 // a restart that is not listed yet.
--- a/internal/placement/mtboard/build_test.go
+++ b/internal/placement/mtboard/build_test.go
@@ -58,7 +58,7 @@
 		q.Pin("b")
 		c := b.Choose(q)
 		g.Expect(c.Build()).To(Equal("b"))
-		b.UpdateState(&fleetv1.State{Target: "e1", Service: "pool", Answers: true, Report: &fleetv1.Report{Born: 2}})
+		b.UpdateState(&fleetv1.State{Target: "e1", Answers: true, Report: &fleetv1.Report{Born: 2}})
 		g.Expect(b.Choose(q)).To(BeNil())
 		time.Sleep(3 * time.Second)
 		g.Expect(b.Choose(q)).To(BeNil(), "no heartbeat for a while")
@@ -76,7 +76,7 @@
 	}
 	resumed, begun := b.Choose(pinned), b.Choose(free)
 	g.Expect(resumed.Withdrawn()).To(BeFalse())
-	b.UpdateState(&fleetv1.State{Target: "e1", Service: "pool", Answers: true, Report: &fleetv1.Report{Born: 2}})
+	b.UpdateState(&fleetv1.State{Target: "e1", Answers: true, Report: &fleetv1.Report{Born: 2}})
 	g.Expect(resumed.Withdrawn()).To(BeTrue())
 	g.Expect(begun.Withdrawn()).To(BeFalse(), "any program of the service may begin a stream")
 }
@@ -91,7 +91,7 @@
 	}
 	c := b.Choose(q)
 	g.Expect(c.Build()).To(Equal("b"))
-	b.UpdateState(&fleetv1.State{Target: "e1", Service: "pool", Answers: true, Report: &fleetv1.Report{Born: 2}})
+	b.UpdateState(&fleetv1.State{Target: "e1", Answers: true, Report: &fleetv1.Report{Born: 2}})
 	g.Expect(c.Build()).To(BeEmpty())
 }
 
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -18,9 +18,10 @@
 	// address is copied here because the record's target is replaced when its entry changes.
 	address string
 
-	build   string
-	born    int64
-	version int64
+	expectedID string
+	build      string
+	born       int64
+	version    int64
 	// behind is how long ago weights newer than the target's were published, 0 for the newest.
 	behind       time.Duration
 	salt         string
@@ -65,16 +66,9 @@
 // Target returns the chosen target's id.
 func (c *Choice) Target() string { return c.id }
 
-// ExpectedID returns the id that the program at the address must have to run the request. It is
-// "" for a successor of the listed program, whose id is not known.
-func (c *Choice) ExpectedID() string {
-	c.board.mu.Lock()
-	defer c.board.mu.Unlock()
-	if c.record.hasSuccessor() && !c.continued {
-		return ""
-	}
-	return c.id
-}
+// ExpectedID returns the id that the program at the address must have to run the request: the
+// target's, or that of its successor.
+func (c *Choice) ExpectedID() string { return c.expectedID }
 
 // Build returns the software version of the chosen target's program. It is "" if unknown, as for
 // a successor that is not listed yet, or a program that was started after the choice.
@@ -173,7 +167,7 @@
 
 // begin records the start of the send. The caller holds the board's lock.
 func (c *Choice) begin() {
-	c.build, c.born = c.record.build(), c.record.startMillis()
+	c.expectedID, c.build, c.born = c.record.expectedID(), c.record.build(), c.record.startMillis()
 	c.sentAt = time.Now()
 	c.record.running++
 	c.record.backlog.Add(c.query.rank, c.prefillTokens)
@@ -240,7 +234,7 @@
 }
 
 func (c *Choice) responder(answer *fleetv1.Answer) (string, int64) {
-	if other := answer.GetTarget(); other != "" && other != c.id {
+	if other := answer.GetTarget(); other != "" && other != c.id && other != c.expectedID {
 		return other, 0
 	}
 	return c.id, c.record.startMillis()
@@ -299,7 +293,7 @@
 // handleRejection records why a target did not run the request.
 func (c *Choice) handleRejection(answer *fleetv1.Answer) {
 	c.updateLoad(answer)
-	if answer.GetTarget() != "" && answer.GetTarget() != c.id {
+	if answer.GetTarget() != "" && answer.GetTarget() != c.expectedID {
 		c.record.wrongProgram = true
 		return
 	}
--- a/internal/relay/mtbeside/order.go
+++ b/internal/relay/mtbeside/order.go
@@ -1,6 +1,7 @@
 package mtbeside
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -17,12 +18,14 @@
 
 // look reads the engine's report and tells the entries what has changed.
 func (s *Sidecar) look(ctx context.Context) {
+	sent := time.Now()
 	report, err := s.engine.Report(ctx)
 	if ctx.Err() != nil {
 		return
 	}
 	s.mu.Lock()
 	changed := s.noted(report, err)
+	s.follows(sent, report, err)
 	s.mu.Unlock()
 	if changed {
 		s.tellAll()
@@ -73,7 +76,8 @@
 		return
 	}
 	order := s.plan.Next(s.report)
-	target, fence := s.target, s.gate.Fence()
+	// The report that calls for the order is that of the program at the address, listed or not.
+	target, fence := cmp.Or(s.lineage.ID(), s.target), s.gate.Fence()
 	s.mu.Unlock()
 	if order == nil {
 		return
--- a/internal/relay/mtbeside/sidecar.go
+++ b/internal/relay/mtbeside/sidecar.go
@@ -15,6 +15,7 @@
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/internal/admission/mtpromise"
 	"github.com/mustardtide/mustardtide/internal/members/mtentries"
+	"github.com/mustardtide/mustardtide/internal/members/mtlineage"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/observe/mttrail"
 	"github.com/mustardtide/mustardtide/internal/placement/mtdirectory"
@@ -35,8 +36,9 @@
 	// tickTime is how often the engine is asked for its report; the call does
 	// not leave the instance.
 	tickTime = 100 * time.Millisecond
-	// orderTick is the same while an order is due or under way: an engine that
-	// has loaded should not stand idle for long.
+	// orderTick is the same while an order is due or under way, as an engine that
+	// has loaded should not stand idle for long, and after a failed call, as another
+	// program may run there.
 	orderTick = 20 * time.Millisecond
 	// lostAfter is how many calls in a row must fail before the engine counts as
 	// lost: one may meet a connection that the engine has just closed.
@@ -68,7 +70,10 @@
 	promises *mtpromise.Table
 	// target is the engine's id as the entries know it.
 	target string
-	report *fleetv1.Report
+	// lineage are the programs at the engine's address, health the path at which they say their ids.
+	lineage *mtlineage.Lineage
+	health  string
+	report  *fleetv1.Report
 	// backlog is the report's, which only entries get that choose by rank.
 	backlog []*fleetv1.Backlog
 	// speed is what an entry told last of the service's engines, kept for entries
@@ -80,6 +85,8 @@
 	told    time.Time
 	// spread are the pending tokens that the entries were told last.
 	spread int64
+	// unidentified wakes the task that asks the engine for its id.
+	unidentified chan struct{}
 }
 
 // New returns a sidecar that speaks through a socket.
@@ -98,8 +105,11 @@
 		directory: mtdirectory.New(),
 		origins:   mtorigin.New(),
 		promises:  mtpromise.New(),
+		lineage:   mtlineage.New(site.GetBounds().GetReuse().AsDuration()),
 		report:    &fleetv1.Report{},
 		failed:    lostAfter,
+
+		unidentified: make(chan struct{}, 1),
 	}
 }
 
@@ -107,10 +117,11 @@
 func (s *Sidecar) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ends := make(chan error, 3)
+	ends := make(chan error, 4)
 	go func() { ends <- s.follow(ctx) }()
 	go func() { ends <- s.socket.Serve(ctx, s.hear) }()
 	go func() { ends <- s.ask(ctx) }()
+	go func() { ends <- s.identify(ctx) }()
 	for ctx.Err() == nil {
 		s.look(ctx)
 		s.order(ctx)
@@ -119,14 +130,14 @@
 		case <-time.After(s.interval()):
 		}
 	}
-	return errors.Join(<-ends, <-ends, <-ends)
+	return errors.Join(<-ends, <-ends, <-ends, <-ends)
 }
 
 // interval is the time to the next look at the engine.
 func (s *Sidecar) interval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.plan.Ordering(s.report) {
+	if s.plan.Ordering(s.report) || s.failed == 1 {
 		return orderTick
 	}
 	if until := s.plan.UntilDue(s.report); until >= 0 {
--- a/internal/relay/mtbeside/tell.go
+++ b/internal/relay/mtbeside/tell.go
@@ -66,10 +66,11 @@
 	if hello.GetSpeed() != nil {
 		s.speed = hello.GetSpeed()
 	}
-	states := s.answer(from, hello)
-	if hello.GetAsk() != 0 || !hello.GetFar() {
-		states[0].Service = s.site.GetService()
+	if hello.GetHealth() != "" {
+		s.health = hello.GetHealth()
+		s.wakeIdentify()
 	}
+	states := s.answer(from, hello)
 	states[0].Ask, states[0].Found = hello.GetAsk(), s.held.Find(hello.GetSalts(), hello.GetParts())
 	if hello.GetAsks() {
 		states[0].Speed = s.speed
@@ -149,6 +150,12 @@
 		Pending:  s.entries.Pending(to),
 		Load:     s.plan.Load(),
 	}
+	if id := s.lineage.ID(); id != "" {
+		state.Identified = true
+		if id != s.target {
+			state.Program, state.Related = id, s.lineage.Related(s.target)
+		}
+	}
 	if s.entries.Ranked() {
 		state.Backlog = s.entries.Backlog(to)
 		state.Report = proto.CloneOf(s.report)
--- a/internal/relay/mtfront/greet.go
+++ b/internal/relay/mtfront/greet.go
@@ -100,6 +100,7 @@
 			Asks:    speed == nil,
 			Far:     away && !queues.FleetWide(),
 			Round:   durationpb.New(nearRound),
+			Health:  service.GetHealth(),
 		}
 		if away {
 			hello.Speed, hello.Round = speed, durationpb.New(farRound)
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -261,7 +261,7 @@
 		fields = append(fields, zap.Float64("limit", limit))
 	}
 	r.front.trail.Say(mtkind.RequestSent, append(fields,
-		zap.String("target", choice.Target()), zap.String("build", choice.Build()), zap.Int("try", r.tries),
+		zap.String("target", choice.Target()), zap.String("expected", choice.ExpectedID()), zap.String("build", choice.Build()), zap.Int("try", r.tries),
 		zap.Int64("weights", choice.Version()), zap.Duration("behind", choice.Behind()), zap.Int64("prompt", r.ask.GetPrompt()), zap.Int64("output", r.ask.GetOutput()),
 		zap.String("how", choice.CacheUse()), zap.Int64("cached", choice.Matched()), zap.String("fetch", choice.FetchFrom()),
 		zap.Duration("cost", choice.Cost()), zap.String("next", choice.RunnersUp()), zap.String("unfit", choice.Unfit()), zap.Bool("kept", link.Reused()), zap.String("backup", r.backupTarget()),
--- a/internal/relay/mtprobe/probe.go
+++ b/internal/relay/mtprobe/probe.go
@@ -46,21 +46,34 @@
 func (p *Probe) Report(ctx context.Context) (*fleetv1.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
-	status, body, err := p.call(ctx, http.MethodGet, mtspeech.PathReport, nil, nil)
+	answer, body, err := p.call(ctx, http.MethodGet, mtspeech.PathReport, nil, nil)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return decodeReport(status, body)
+	return decodeReport(answer.status, body)
+}
+
+// ID asks the engine for its id at the path of its health check. The status does not matter: an
+// engine that is leaving says its id too.
+func (p *Probe) ID(ctx context.Context, path string) (string, error) {
+	answer, _, err := p.call(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	if answer.id == "" {
+		return "", trace.NotFound("the engine's answer with status %d names no id", answer.status)
+	}
+	return answer.id, nil
 }
 
 // CacheEvents waits for changes of the engine's cache after a number.
 func (p *Probe) CacheEvents(ctx context.Context, since int64, wait time.Duration) (*fleetv1.CacheEvents, error) {
-	status, body, err := p.call(ctx, http.MethodGet, mtspeech.CacheEventsPath(since), mtspeech.CacheEventsHeaders(wait), nil)
+	answer, body, err := p.call(ctx, http.MethodGet, mtspeech.CacheEventsPath(since), mtspeech.CacheEventsHeaders(wait), nil)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if status != http.StatusOK {
-		return nil, trace.ConnectionProblem(nil, "the engine answered the call for its events with status %d", status)
+	if answer.status != http.StatusOK {
+		return nil, trace.ConnectionProblem(nil, "the engine answered the call for its events with status %d", answer.status)
 	}
 	events, err := mtspeech.DecodeCacheEvents(body)
 	return events, trace.Wrap(err)
@@ -100,26 +113,34 @@
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
-	status, _, err := p.call(ctx, http.MethodPost, mtspeech.PathOrder, mtspeech.SwapHeaders(order), body)
-	return status, trace.Wrap(err)
+	answer, _, err := p.call(ctx, http.MethodPost, mtspeech.PathOrder, mtspeech.SwapHeaders(order), body)
+	return answer.status, trace.Wrap(err)
+}
+
+// head is what the head of an engine's answer says: its status and the engine's id, "" if it names
+// none.
+type head struct {
+	status int
+	id     string
 }
 
-func (p *Probe) call(ctx context.Context, method, path string, header http.Header, body []byte) (int, []byte, error) {
+func (p *Probe) call(ctx context.Context, method, path string, header http.Header, body []byte) (head, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	link, err := p.pool.Take(ctx, p.address)
 	if err != nil {
-		return 0, nil, trace.Wrap(err)
+		return head{}, nil, trace.Wrap(err)
 	}
 	stop := context.AfterFunc(ctx, link.Close)
 	defer stop()
 	response, answer, err := exchange(link, method, path, p.address, header, body) //nolint:bodyclose // the link ends with its body
 	if err != nil {
 		link.Close()
-		return 0, nil, trace.Wrap(err)
+		return head{}, nil, trace.Wrap(err)
 	}
-	link.Release(mtspeech.DecodeAnswer(response.StatusCode, response.Header).GetIdle().AsDuration())
-	return response.StatusCode, answer, nil
+	said := mtspeech.DecodeAnswer(response.StatusCode, response.Header)
+	link.Release(said.GetIdle().AsDuration())
+	return head{status: response.StatusCode, id: said.GetTarget()}, answer, nil
 }
 
 // exchange sends a request over a connection and reads the whole answer.
