Remember the answers of all parts of a long prompt

Sound requests were refused for a part that each of them has and that is answered all the time. Cause: answered components are kept in 8,192 slots by their hash, and one that hashes to the slot of another replaces it. Of a prompt of 200 parts two are lost on the average, with each answer anew, so that they count as never answered and crashes are held against them.

Change: 1,024 sets of eight slots, a cache line each; a component that comes to a full set replaces the one answered longest ago. The memory is the same.

--- a/internal/request/mtacquittal/acquittals.go
+++ b/internal/request/mtacquittal/acquittals.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// slots is the number of components remembered; one that hashes to the slot of another
-	// replaces it.
-	slots = 8192
+	// Components are remembered in so many sets by their hash; one that comes to a full set replaces
+	// the one answered longest ago. A set is as large as a line of a processor's cache.
+	sets    = 1024
+	setSize = 8
 	// A slot holds the hash above the bits of its time, which counts in units since the start.
 	timeBits = 24
 	timeMask = 1<<timeBits - 1
@@ -26,7 +27,7 @@
 // and takes no lock.
 type Acquittals struct {
 	begun time.Time
-	slots [slots]atomic.Uint64
+	sets  [sets][setSize]atomic.Uint64
 }
 
 // New returns an empty memory.
@@ -34,24 +35,41 @@
 
 // Record records that a request with the component was answered.
 func (a *Acquittals) Record(c mtcomponent.Component) {
-	a.slot(c).Store(uint64(c)&^timeMask | a.units())
+	now, set := a.units(), a.set(c)
+	into, most := &set[0], uint64(0)
+	for i := range set {
+		value := set[i].Load()
+		if value == 0 || same(value, c) {
+			into = &set[i]
+			break
+		}
+		if age := (now - value) & timeMask; age > most {
+			into, most = &set[i], age
+		}
+	}
+	into.Store(uint64(c)&^timeMask | now)
 }
 
 // At returns when the component was answered last, and whether that is known.
 func (a *Acquittals) At(c mtcomponent.Component) (time.Time, bool) {
-	value := a.slot(c).Load()
-	if value == 0 || value&^timeMask != uint64(c)&^timeMask {
-		return time.Time{}, false
+	set := a.set(c)
+	for i := range set {
+		if value := set[i].Load(); value != 0 && same(value, c) {
+			age := time.Duration((a.units()-value)&timeMask) * timeUnit
+			return time.Now().Add(-age), age <= retention
+		}
 	}
-	age := time.Duration((a.units()-value)&timeMask) * timeUnit
-	return time.Now().Add(-age), age <= retention
+	return time.Time{}, false
 }
 
+// same reports whether a slot holds a component.
+func same(value uint64, c mtcomponent.Component) bool { return value&^timeMask == uint64(c)&^timeMask }
+
 // units is the time since the start, never 0.
 func (a *Acquittals) units() uint64 { return uint64(time.Since(a.begun)/timeUnit+1) & timeMask }
 
-// slot is chosen by the low bits, which a slot does not hold. The lowest tells parts from whole
+// set is chosen by the low bits, which a slot does not hold. The lowest tells parts from whole
 // requests and varies little.
-func (a *Acquittals) slot(c mtcomponent.Component) *atomic.Uint64 {
-	return &a.slots[uint64(c)>>1%slots]
+func (a *Acquittals) set(c mtcomponent.Component) *[setSize]atomic.Uint64 {
+	return &a.sets[uint64(c)>>1%sets]
 }
--- a/internal/request/mtacquittal/acquittals_test.go
+++ b/internal/request/mtacquittal/acquittals_test.go
@@ -58,3 +58,20 @@
 		}
 	}
 }
+
+// Failure: some parts of a prompt of hundreds replace others in the memory, so that these count as
+// never answered, and a ban of them refuses all who share the prompt.
+func TestAllPartsOfALongPromptAreRemembered(t *testing.T) {
+	for round := range 20 {
+		a := mtacquittal.New()
+		prompt := make([]mtcomponent.Component, 300)
+		for i := range prompt {
+			prompt[i] = mtcomponent.Part(fmt.Sprintf("%x%04x", round+1, i))
+			a.Record(prompt[i])
+		}
+		for _, part := range prompt {
+			_, known := a.At(part)
+			NewWithT(t).Expect(known).To(BeTrue())
+		}
+	}
+}
