Count crashes at one moment once, also where they are told of late

Sound requests were refused for a part that they share with three requests which crash engines, where these are sent at the same time. Cause: a crash counts against a component again if a request with it was sent after the crash before. An entry that is told of a crash takes the time of the datagram less an age in whole milliseconds, and so sees it some milliseconds late, together with the request. Three crashes at 2.000 s looked like 2.000, 2.0005 and 2.001 s: a succession, and the part was banned.

Change: the request must have been sent 20 ms after the crash before.

--- a/internal/request/mtcrash/crashes.go
+++ b/internal/request/mtcrash/crashes.go
@@ -28,6 +28,8 @@
 	settleTime = 100 * time.Millisecond
 	// outageTime is how far apart entries may see targets crash that one cause takes down.
 	outageTime = 100 * time.Millisecond
+	// tellTime is by how much later than it happened a crash may seem to one that was told of it.
+	tellTime = 20 * time.Millisecond
 	// sharedPerCrash is how many crashes, each at the same time as others without the component,
 	// count as one: two deadly parts that always run at the same time would else hide each other
 	// for good.
--- a/internal/request/mtcrash/crashes_test.go
+++ b/internal/request/mtcrash/crashes_test.go
@@ -409,3 +409,19 @@
 		return c
 	}, []string{"d"}, []string{"e"})
 }
+
+// Failure: targets that crash at the same moment under different requests are told of by other
+// entries some milliseconds later, look as if they had crashed one after another, and a part that
+// the requests share is banned.
+func TestCrashesToldLateAreNotSuccessive(t *testing.T) {
+	expect(t, func() *mtcrash.Crashes {
+		c := mtcrash.New()
+		for i, whole := range []string{"wx", "wy", "wz"} {
+			told := crash(fmt.Sprint("engine-", i), "shared", whole)
+			told.Sent = []uint32{0, 0}
+			c.Add(told)
+			time.Sleep(2 * time.Millisecond)
+		}
+		return c
+	})
+}
--- a/internal/request/mtcrash/culprits.go
+++ b/internal/request/mtcrash/culprits.go
@@ -163,7 +163,7 @@
 func (c *Crashes) successive(name mtcomponent.Component, crashes []*record) (alone, shared int) {
 	var last time.Time
 	for _, r := range crashes {
-		if !r.sent[name].After(last) {
+		if !last.IsZero() && !r.sent[name].After(last.Add(tellTime)) {
 			continue
 		}
 		last = r.at
