Hold crashes against the whole request, whatever parts it names

Causes, each seen by itself in a case of the new test: - The whole request was one of n + 1 components in a draw of 32. With 33 parts or fewer it is always drawn and caught, with 64, 200 and 1,000 it is not. - The drawn parts are at the same crashes, and a set of more than 16 refuses nothing, but explained its crashes, so that these counted against nothing else: three requests that share 200 parts were not caught even where they were drawn. - Two whole requests at the same crashes made a set that no request can have. Ruled out: digests that do not arrive (a request that comes to one entry alone was not caught either).

Change: the whole request is always recorded, then the parts that were at most crashes. A crash keeps 128 whole requests beside 64 parts; digests and the store take both in turn. A set that refuses nothing explains nothing. A whole request that was at five crashes in succession is refused whatever else was there, so that it reaches two engines at most of the three that the rule leaves.

--- a/internal/request/mtban/bans.go
+++ b/internal/request/mtban/bans.go
@@ -27,7 +27,7 @@
 	// maxBans bounds the bans, maxComponents the components of one, maxTargets the targets that it
 	// names.
 	maxBans       = 512
-	maxComponents = 16
+	maxComponents = 32
 	maxTargets    = 5
 	// AcquittalTime is how long before a ban an answer still speaks against it: it may become
 	// known later than the crashes.
@@ -40,6 +40,8 @@
 	minSeen       = 20
 	// gossipTime is how long a new ban is sent to other entries before others.
 	gossipTime = 5 * time.Second
+	// maxSampled bounds the components of all bans in a sample, which is sent in one datagram.
+	maxSampled = 128
 )
 
 // Bans holds the bans known to one process. It is not safe for concurrent use.
@@ -252,7 +254,14 @@
 	shuffle(list)
 	shuffle(others)
 	list = append(list, others...)
-	return list[:min(len(list), most)]
+	list = list[:min(len(list), most)]
+	components := 0
+	for i, message := range list {
+		if components += len(message.GetComponents()); components > maxSampled {
+			return list[:i]
+		}
+	}
+	return list
 }
 
 // All returns all bans.
--- a/internal/request/mtcrash/crashes.go
+++ b/internal/request/mtcrash/crashes.go
@@ -21,6 +21,9 @@
 	// however many others there were meanwhile.
 	minCrashes       = 3
 	maxCrashesNeeded = 7
+	// wholeCrashes is how many crashes in succession make a culprit of a whole request, whatever
+	// others there were: hardly any caller repeats a request as often that never was answered.
+	wholeCrashes = 5
 	// answeredCrashes is how many more it takes of a component that was answered before.
 	answeredCrashes = 2
 	// settleTime is how long after a crash is heard of it counts: entries tell of the same crash
@@ -40,9 +43,12 @@
 	aliveTime = time.Second
 	// retention is how long a crash is kept. Requests with a culprit may be rare.
 	retention = 10 * time.Minute
-	// maxCrashes and maxComponents bound the memory to some hundred kilobytes.
-	maxCrashes    = 128
-	maxComponents = 64
+	// maxCrashes, maxParts and maxWholes bound the memory to one or two megabytes: the parts and the
+	// whole requests of one crash. Whole requests have room of their own, as callers may name any
+	// number of parts.
+	maxCrashes = 128
+	maxParts   = 64
+	maxWholes  = 128
 )
 
 // Crashes holds the crashes known to one process. It is not safe for concurrent use.
@@ -58,9 +64,11 @@
 	target string
 	born   int64
 	at     time.Time
-	// sent is when a request with the component was sent last.
-	sent map[mtcomponent.Component]time.Time
-	void bool
+	// sent is when a request with the component was sent last; wholes counts the whole requests in
+	// it.
+	sent   map[mtcomponent.Component]time.Time
+	wholes int
+	void   bool
 	// heardAt is when this process heard of it first, changedAt when it last learned something
 	// new of it.
 	heardAt, changedAt time.Time
@@ -77,8 +85,8 @@
 // Len returns the number of crashes.
 func (c *Crashes) Len() int { return len(c.records) }
 
-// Knows reports whether the component was at some crash.
-func (c *Crashes) Knows(name mtcomponent.Component) bool { return c.count[name] > 0 }
+// Count returns the number of crashes that the component was at.
+func (c *Crashes) Count(name mtcomponent.Component) int { return c.count[name] }
 
 // Add records a crash, or what another process saw of one. It reports whether something of it is
 // new.
@@ -127,23 +135,34 @@
 			}
 			continue
 		}
-		if len(r.sent) >= maxComponents && !c.makeRoom(r, name) {
+		if r.full(name.IsWhole()) && !c.makeRoom(r, name) {
 			continue
 		}
 		r.sent[name] = sent
 		c.count[name]++
+		if name.IsWhole() {
+			r.wholes++
+		}
 		news = true
 	}
 	return news
 }
 
-// makeRoom drops a component that was at no other crash, for one that was.
+// full reports whether a crash has as many whole requests, or parts, as are kept.
+func (r *record) full(whole bool) bool {
+	if whole {
+		return r.wholes >= maxWholes
+	}
+	return len(r.sent)-r.wholes >= maxParts
+}
+
+// makeRoom drops a component that was at no other crash, for one of its kind that was.
 func (c *Crashes) makeRoom(r *record, name mtcomponent.Component) bool {
 	if c.count[name] == 0 {
 		return false
 	}
 	for other := range r.sent {
-		if c.count[other] == 1 {
+		if other.IsWhole() == name.IsWhole() && c.count[other] == 1 {
 			c.remove(r, other)
 			return true
 		}
@@ -153,6 +172,9 @@
 
 func (c *Crashes) remove(r *record, name mtcomponent.Component) {
 	delete(r.sent, name)
+	if name.IsWhole() {
+		r.wholes--
+	}
 	if c.count[name]--; c.count[name] <= 0 {
 		delete(c.count, name)
 		delete(c.acquitted, name)
--- a/internal/request/mtcrash/crashes_test.go
+++ b/internal/request/mtcrash/crashes_test.go
@@ -425,3 +425,59 @@
 		return c
 	})
 }
+
+// Guards against a whole request that is never refused, as others crash targets at the same times,
+// or as its parts are too many to be refused by.
+func TestWholeRequestIsEvidenceOfItsOwn(t *testing.T) {
+	parts := func(n int) []string {
+		var ids []string
+		for i := range n {
+			ids = append(ids, fmt.Sprintf("a%x", i))
+		}
+		return ids
+	}
+	for name, set := range map[string][]string{
+		"two at all crashes":       {"wx", "wy"},
+		"as many parts as kept":    append(parts(64), "wx"),
+		"more parts than are kept": append(parts(200), "wx"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := played(set, set, set, set, set)
+				settle()
+				want := []mtcomponent.Component{mtcomponent.Whole([]byte("wx"))}
+				NewWithT(t).Expect(c.Culprits(nothing, nobody)).To(ContainElement(want))
+			})
+		})
+	}
+}
+
+// Guards against a ban of the parts that others share, which were recorded, in place of one that was
+// not: a set that large is refused only where none of its parts was ever answered.
+func TestLargeSetOfAnsweredPartsIsNoCulprit(t *testing.T) {
+	for answered, want := range map[bool]int{false: 1, true: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			var set []string
+			for i := range 24 {
+				set = append(set, fmt.Sprintf("a%x", i))
+			}
+			c := mtcrash.New()
+			crashes := func(first, number int) {
+				for i := range number {
+					time.Sleep(time.Second)
+					c.Add(crash(fmt.Sprint("engine-", first+i), append(set, fmt.Sprint("w", first+i))...))
+				}
+			}
+			crashes(0, 1)
+			if answered {
+				for _, id := range set {
+					c.Acquit(mtcomponent.Part(id), time.Now())
+				}
+				time.Sleep(10 * time.Second)
+			}
+			crashes(1, 5)
+			settle()
+			NewWithT(t).Expect(c.Culprits(nothing, nobody)).To(HaveLen(want))
+		})
+	}
+}
--- a/internal/request/mtcrash/culprits.go
+++ b/internal/request/mtcrash/culprits.go
@@ -34,13 +34,22 @@
 			set = c.alike(s.name, s.crashes)
 			guilty = !rivalled(list[i+1:], s, set)
 		}
+		set = reduce(set)
+		if guilty && !c.definite(set) {
+			// Crashes that such a set explained would count against nothing, and no request be refused.
+			guilty, open = false, nil
+		}
+		if !guilty && c.persists(s) {
+			sets = append(sets, []mtcomponent.Component{s.name})
+			continue
+		}
 		if !guilty && len(open) < minCrashes {
 			continue
 		}
 		for _, r := range s.crashes {
 			explained[r] = append(explained[r], set)
 		}
-		if set = reduce(set); guilty && set != nil && !slices.ContainsFunc(sets, func(other []mtcomponent.Component) bool { return slices.Equal(other, set) }) {
+		if guilty && !slices.ContainsFunc(sets, func(other []mtcomponent.Component) bool { return slices.Equal(other, set) }) {
 			sets = append(sets, set)
 		}
 	}
@@ -186,7 +195,7 @@
 		case r.void || r.at.Sub(crash.at).Abs() > outageTime:
 		case there:
 			with++
-		case len(r.sent) < maxComponents:
+		case !r.full(name.IsWhole()):
 			without++
 		}
 	}
@@ -205,6 +214,35 @@
 	return set
 }
 
+// maxAlike and maxUnanswered bound the components of a set by which requests are refused, the latter
+// where none of them was ever answered: the larger a set, the likelier its requests have the cause in
+// a part that was not recorded, and others share the rest.
+const (
+	maxAlike      = 16
+	maxUnanswered = 32
+)
+
+// definite reports whether a set is small enough for requests to be refused by it.
+func (c *Crashes) definite(set []mtcomponent.Component) bool {
+	if len(set) <= maxAlike {
+		return len(set) > 0
+	}
+	return len(set) <= maxUnanswered && !slices.ContainsFunc(set, func(name mtcomponent.Component) bool {
+		_, answered := c.acquitted[name]
+		return answered
+	})
+}
+
+// persists reports whether a whole request has come again after each of so many crashes that it is
+// refused whatever else was there.
+func (c *Crashes) persists(s suspect) bool {
+	if !s.name.IsWhole() {
+		return false
+	}
+	alone, shared := c.successive(s.name, s.crashes)
+	return alone+shared >= wholeCrashes
+}
+
 // reduce leaves a whole request alone in its set, as it has all that is its own. No request is
 // two, so that such a set has no use.
 func reduce(set []mtcomponent.Component) []mtcomponent.Component {
--- a/internal/request/mtcrash/gossip.go
+++ b/internal/request/mtcrash/gossip.go
@@ -87,7 +87,7 @@
 	}
 	order(often)
 	order(once)
-	for _, name := range append(often, once...) {
+	for _, name := range append(alternate(often), alternate(once)...) {
 		if len(crash.GetComponents()) >= most {
 			break
 		}
@@ -108,6 +108,29 @@
 	return list
 }
 
+// alternate returns whole requests and parts in turn, so that a crash of which not all is told tells
+// of both.
+func alternate(names []mtcomponent.Component) []mtcomponent.Component {
+	var wholes, parts []mtcomponent.Component
+	for _, name := range names {
+		if name.IsWhole() {
+			wholes = append(wholes, name)
+		} else {
+			parts = append(parts, name)
+		}
+	}
+	list := make([]mtcomponent.Component, 0, len(names))
+	for i := range max(len(wholes), len(parts)) {
+		if i < len(wholes) {
+			list = append(list, wholes[i])
+		}
+		if i < len(parts) {
+			list = append(list, parts[i])
+		}
+	}
+	return list
+}
+
 func shuffle(names []mtcomponent.Component) {
 	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 }
--- a/internal/request/mtculprit/culprits.go
+++ b/internal/request/mtculprit/culprits.go
@@ -7,7 +7,10 @@
 package mtculprit
 
 import (
+	"cmp"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,7 +29,8 @@
 	updateInterval = 10 * time.Millisecond
 	updateShare    = 20
 	// maxAnswered bounds the components of one request for which its answer speaks, maxSuspected
-	// those against which its crash counts: a caller may name any number of parts.
+	// those against which its crash counts: a caller may name any number of parts. The whole
+	// request is always among these.
 	maxAnswered  = 1024
 	maxSuspected = 32
 	// maxBans bounds the bans in a digest.
@@ -80,19 +84,19 @@
 // suspected returns the components that were not answered of late. If they are many, those come
 // first that were at other crashes.
 func (c *Culprits) suspected(components []mtcomponent.Component) []mtcomponent.Component {
-	var known, others []mtcomponent.Component
-	for _, name := range components {
-		switch at, answered := c.acquittals.At(name); {
-		case answered && time.Since(at) < mtcrash.AcquittalTime:
-		case c.crashes.Knows(name):
-			known = append(known, name)
-		default:
-			others = append(others, name)
+	open := slices.DeleteFunc(slices.Clone(components), func(name mtcomponent.Component) bool {
+		at, answered := c.acquittals.At(name)
+		return answered && time.Since(at) < mtcrash.AcquittalTime
+	})
+	rand.Shuffle(len(open), func(i, j int) { open[i], open[j] = open[j], open[i] })
+	rank := func(name mtcomponent.Component) int {
+		if name.IsWhole() {
+			return math.MaxInt
 		}
+		return c.crashes.Count(name)
 	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	known = append(known, others...)
-	return known[:min(len(known), maxSuspected)]
+	slices.SortStableFunc(open, func(x, y mtcomponent.Component) int { return cmp.Compare(rank(y), rank(x)) })
+	return open[:min(len(open), maxSuspected)]
 }
 
 // Answered records that a target has answered a request that was sent at a time. It reports
