Do not take a successor for the listed program's software version

Where programs don't say when they were started, its version counted as the listed one's, and a stream that a caller resumes could go on there: a text joined of two versions.

Change: the version of a successor is unknown until it is listed, as that of a program with a later start was before.

Measured: TestPinnedStreamDoesNotGoToASuccessor fails before and passes now.

--- a/internal/placement/mtboard/board.go
+++ b/internal/placement/mtboard/board.go
@@ -318,7 +318,7 @@
 // build returns the software version of the program at the address, "" if it is unknown, as after
 // a restart that is not listed yet.
 func (r *record) build() string {
-	if born := r.target.GetBorn(); born > 0 && r.state.GetReport().GetBorn() > born {
+	if born := r.target.GetBorn(); r.successor != "" || born > 0 && r.state.GetReport().GetBorn() > born {
 		return ""
 	}
 	return r.target.GetBuild()
--- a/internal/placement/mtboard/build_test.go
+++ b/internal/placement/mtboard/build_test.go
@@ -65,6 +65,17 @@
 	})
 }
 
+// Guards against a stream that is resumed at a successor of the listed program, whose software nobody
+// knows, where programs don't say when they were started.
+func TestPinnedStreamDoesNotGoToASuccessor(t *testing.T) {
+	g := NewWithT(t)
+	b, q := mixedBoard(), query(500, "q", "own")
+	q.Pin("b")
+	g.Expect(b.Choose(q).Build()).To(Equal("b"))
+	b.UpdateState(&fleetv1.State{Target: "e1", Answers: true, Identified: true, Program: "e1-again", Related: true, Report: &fleetv1.Report{}})
+	g.Expect(b.Choose(q)).To(BeNil())
+}
+
 // Guards against a stream that is resumed at a restarted program as if its software were the same,
 // because the program restarted while the connection was being established.
 func TestPinnedChoiceIsWithdrawnWhenItsProgramRestarts(t *testing.T) {
