Take streams late in a planned stop only if they can end

Cause: a stream whose deadline lies beyond the end was taken if 1.5 s and 14 ms a token fit before it, whatever the engines' speed. Ruled out: requests that wait in the entry until its end (bodies are judged again when they have come, permits take 15 ms), connections closed under a request (plain requests are never cut).

Change: while another entry takes requests, only what a deadline bounds is taken late; refused callers reconnect after 10 ms. Where no entry does, what would end in time at a third of the slowest recent pace that this entry has seen (mtpace).

--- a/internal/admission/mtclosing/closing.go
+++ b/internal/admission/mtclosing/closing.go
@@ -7,18 +7,19 @@
 // no connection and no retry delay. A fifth of the requests of such a minute failed that way.
 package mtclosing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// deliveryMargin is the least time between the deadline of a request and the end of the
 	// process, as the answer still has to reach the caller.
 	deliveryMargin = 300 * time.Millisecond
-	// maxStartDelay and maxTokenTime bound the duration of a model's answer that only planned
-	// work disturbs. The delay allows half a second for queued requests and one second for a
-	// load of weights in the middle. The time per token is twice the usual one, as long
-	// prompts are processed between tokens.
-	maxStartDelay = 1500 * time.Millisecond
-	maxTokenTime  = 14 * time.Millisecond
+	// errorFactor is how many times as long as the slowest recent one an answer may take.
+	errorFactor = 3
+	// loadTime is added for a load of weights in the middle of an answer.
+	loadTime = time.Second
 	// reconnectDelay is the retry delay if other entries accept requests: the caller should
 	// retry at once over a new connection, which leads to one of them.
 	reconnectDelay = 10 * time.Millisecond
@@ -45,11 +46,23 @@
 	return deadline.Before(c.end.Add(-deliveryMargin))
 }
 
-// AcceptsAnswer reports whether a request for a model's answer of at most maxTokens tokens may
-// still start: by its deadline, or because so short an answer ends in time. maxTokens is zero
-// if the length is unknown.
-func (c Shutdown) AcceptsAnswer(now, deadline time.Time, maxTokens int64) bool {
-	return c.Accepts(deadline) || maxTokens > 0 && c.Accepts(now.Add(maxStartDelay+time.Duration(maxTokens)*maxTokenTime))
+// AcceptsAnswer reports whether a request for a model's answer of at most maxTokens tokens, zero if
+// unknown, may still start. Its deadline alone is a promise that it ends in time. Only where no other
+// entry accepts requests it may also start if it would end in time were it several times as slow as
+// the slowest recent ones: start is the time to their first token, token that for each further one,
+// zero if unknown. others is as for RetryAfter.
+func (c Shutdown) AcceptsAnswer(now, deadline time.Time, maxTokens int64, start, token time.Duration, others []time.Time) bool {
+	if c.Accepts(deadline) {
+		return true
+	}
+	if maxTokens <= 0 || start <= 0 || token <= 0 || slices.ContainsFunc(others, time.Time.IsZero) {
+		return false
+	}
+	// A larger number of tokens would overflow.
+	if maxTokens > int64(c.Remaining(now)/token) {
+		return false
+	}
+	return c.Accepts(now.Add(loadTime + errorFactor*(start+time.Duration(maxTokens)*token)))
 }
 
 // RetryAfter returns the delay after which a refused caller should retry. others holds the
--- a/internal/admission/mtclosing/closing_test.go
+++ b/internal/admission/mtclosing/closing_test.go
@@ -1,6 +1,7 @@
 package mtclosing_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -26,15 +27,37 @@
 }
 
 // While all entries shut down, short answers are accepted however late the caller's deadline
-// is, and long ones are not. Most callers of a model ask for short answers.
+// is, and long ones are not, by the pace of the slowest engine of late. Most callers of a model ask
+// for short answers.
 func TestAcceptsShortAnswers(t *testing.T) {
-	g := NewWithT(t)
+	const start, token = 300 * time.Millisecond, 7 * time.Millisecond
 	closing := mtclosing.EndingAt(after(5))
-	g.Expect(closing.AcceptsAnswer(now, after(15), 80)).To(BeTrue())
-	g.Expect(closing.AcceptsAnswer(now, after(15), 900)).To(BeFalse())
-	g.Expect(closing.AcceptsAnswer(after(2.5), after(15), 80)).To(BeFalse())
-	g.Expect(closing.AcceptsAnswer(now, after(15), 0)).To(BeFalse(), "a request without a token limit")
-	g.Expect(closing.AcceptsAnswer(now, after(3), 900)).To(BeTrue())
+	stopping := []time.Time{after(3), after(6)}
+	for name, c := range map[string]struct {
+		now, deadline time.Time
+		tokens        int64
+		start, token  time.Duration
+		others        []time.Time
+		accepts       bool
+	}{
+		"short":                       {now, after(15), 80, start, token, stopping, true},
+		"alone":                       {now, after(15), 80, start, token, nil, true},
+		"another entry accepts":       {now, after(15), 80, start, token, []time.Time{after(3), {}}, false},
+		"long":                        {now, after(15), 900, start, token, stopping, false},
+		"as long as an integer holds": {now, after(15), math.MaxInt64, start, token, stopping, false},
+		"late":                        {after(2.5), after(15), 80, start, token, stopping, false},
+		"without a token limit":       {now, after(15), 0, start, token, stopping, false},
+		"by its deadline":             {now, after(3), 900, start, token, []time.Time{{}}, true},
+		"slow engines":                {now, after(15), 30, start, 120 * time.Millisecond, stopping, false},
+		"beside long prompts":         {now, after(15), 80, start, 38 * time.Millisecond, stopping, false},
+		"slow to start":               {now, after(15), 8, 2 * time.Second, token, stopping, false},
+		"of unknown pace":             {now, after(15), 8, start, 0, stopping, false},
+		"of unknown start":            {now, after(15), 8, 0, token, stopping, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(closing.AcceptsAnswer(c.now, c.deadline, c.tokens, c.start, c.token, c.others)).To(Equal(c.accepts))
+		})
+	}
 }
 
 // A refused caller is told to retry at once if another entry accepts requests, and otherwise
--- a/internal/relay/mtfront/drain.go
+++ b/internal/relay/mtfront/drain.go
@@ -14,7 +14,7 @@
 const (
 	// noticeTime is how long a stopping entry takes every request: the balancer
 	// asks each second and needs two misses to send new connections elsewhere.
-	// What it takes later may not end within the grace time.
+	// What it takes later has to end within the grace time.
 	noticeTime = 2900 * time.Millisecond
 	// emptyTime is how often a stopping entry looks whether its requests are over:
 	// little beside the time that its replacement takes to start.
@@ -57,7 +57,8 @@
 		if r.service.GetModel() == "" {
 			return closing.Accepts(r.until)
 		}
-		return closing.AcceptsAnswer(time.Now(), r.until, r.ask.GetOutput())
+		start, token := r.front.pace(r.service.GetName()).Slowest()
+		return closing.AcceptsAnswer(time.Now(), r.until, r.ask.GetOutput(), start, token, r.front.peers.ends())
 	default:
 		return true
 	}
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -115,6 +115,8 @@
 	away atomic.Int32
 
 	histograms sync.Map
+	// paces are by service.
+	paces sync.Map
 	// without is what is left out to be measured.
 	without struct{ shedding, repeats, level, promises bool }
 	// with is what is used only where the operators ask for it.
--- /dev/null
+++ b/internal/relay/mtfront/pace.go
@@ -0,0 +1,49 @@
+package mtfront
+
+import (
+	"time"
+
+	"github.com/mustardtide/mustardtide/internal/admission/mtpace"
+)
+
+// paceEvents is the number of events over which the pace of a stream is measured.
+const paceEvents = 8
+
+// pace is how slowly a service's engines answer.
+func (f *Front) pace(service string) *mtpace.Pace {
+	found, _ := f.paces.LoadOrStore(service, &mtpace.Pace{})
+	return found.(*mtpace.Pace)
+}
+
+// stretch is the part of a stream since its pace was last measured.
+type stretch struct {
+	pace   *mtpace.Pace
+	since  time.Time
+	events int
+}
+
+// newStretch begins to measure a stream; nil if no model engine answers it.
+func (r *request) newStretch() *stretch {
+	if r.service.GetModel() == "" {
+		return nil
+	}
+	return &stretch{pace: r.front.pace(r.service.GetName())}
+}
+
+// take takes in that so many events of a stream sent at a time have come. An event has one token or
+// more, so that engines seem slower than they are at most.
+func (s *stretch) take(events int, sentAt time.Time) {
+	if s == nil || events == s.events {
+		return
+	}
+	now := time.Now()
+	switch {
+	case s.since.IsZero():
+		s.pace.Started(now.Sub(sentAt))
+	case events-s.events < paceEvents:
+		return
+	default:
+		s.pace.Streamed(now.Sub(s.since), events-s.events)
+	}
+	s.since, s.events = now, events
+}
--- a/internal/relay/mtfront/stream.go
+++ b/internal/relay/mtfront/stream.go
@@ -85,6 +85,7 @@
 	}
 	count := 0
 	last := time.Now()
+	measured := r.newStretch()
 	for {
 		asked := time.Now()
 		n, err := from.Read(buffer)
@@ -96,6 +97,7 @@
 		}
 		events := r.ending.Events()
 		closed := r.ending.Take(chunk)
+		measured.take(r.ending.Events(), r.sentAt)
 		if passed := r.bounded(last.Sub(asked), n, r.ending.Events() > events, n-closed); passed != nil {
 			return count, r.judgeEnd(passed)
 		}
