--- a/internal/relay/mtfront/pace.go
+++ b/internal/relay/mtfront/pace.go
@@ -30,8 +30,8 @@
 	return &stretch{pace: r.front.pace(r.service.GetName())}
 }
 
-// take takes in that so many events of a stream sent at a time have come. An event has one token or
-// more, so that engines seem slower than they are at most.
+// take records how many events have come of a stream whose request was sent at a time. An event may
+// have several tokens: engines then seem slower than they are, never faster.
 func (s *stretch) take(events int, sentAt time.Time) {
 	if s == nil || events == s.events {
 		return
