Order the fencing tokens of all models of an engine

Cause: the token was the revision of the order's own model, and the engine compares those of all its orders.

Change: the token is the greatest revision of any model's published weights.

Measured: TestFencingTokensOfAllModelsAreInOrder (three models, a restart) fails before and passes now.

--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -305,7 +305,17 @@
 	// An order without an answer may still be carried out. It carries the number of
 	// orders before it, so that only one of it and its retry can be.
 	p.blockedUntil = now.Add(retryDelay)
-	return &fleetv1.Swap{Weights: d.weights, Fence: d.weights.GetRevision(), Expected: report.GetOrders()}
+	return &fleetv1.Swap{Weights: d.weights, Fence: p.fence(), Expected: report.GetOrders()}
+}
+
+// fence returns the fencing token of an order: the greatest revision of any model's published
+// weights. An engine compares the tokens of the orders for all of its models.
+func (p *Plan) fence() int64 {
+	var greatest int64
+	for _, naming := range p.namings {
+		greatest = max(greatest, naming.Snapshot().GetRevision())
+	}
+	return greatest
 }
 
 // Answered records the outcome of an order. An order without an answer may still be carried
--- a/internal/relay/mtrollout/plan_test.go
+++ b/internal/relay/mtrollout/plan_test.go
@@ -367,3 +367,40 @@
 		g.Expect(took).To(BeNumerically("<", 2*time.Second))
 	})
 }
+
+// Failure: weights of one model are published before those of another, the engine is ordered to load
+// the later ones first, and the order for the others bears a lower fencing token.
+func TestFencingTokensOfAllModelsAreInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		models := []string{"a", "b", "c"}
+		versions := map[string]int64{"a": 1, "b": 1, "c": 1}
+		said := func(orders int64) *fleetv1.Report {
+			r := &fleetv1.Report{Orders: orders}
+			for _, model := range models {
+				r.Models = append(r.Models, &fleetv1.Weights{Model: model, Version: versions[model]})
+			}
+			return r
+		}
+		published := map[string]int64{"c": 11, "b": 12, "a": 13}
+		restart := func() *mtrollout.Plan {
+			plan := planWithTurn(0)
+			for _, model := range models {
+				plan.AddWeights(&fleetv1.Weights{Model: model, Version: 2, Revision: published[model]})
+			}
+			return plan
+		}
+		plan := restart()
+		var last int64
+		for orders := range int64(len(models)) {
+			swap, _ := waitForOrder(plan, said(orders))
+			g.Expect(swap.GetFence()).To(BeNumerically(">=", last))
+			last = swap.GetFence()
+			versions[swap.GetWeights().GetModel()] = 2
+			if orders == 1 {
+				plan = restart()
+			}
+		}
+		g.Expect(versions).To(HaveEach(int64(2)))
+	})
+}
