Remove what the change made dead or wrote twice

The least number of tokens of a pace stood in mtpace and again in mtfront.

A comment on which components come first was out of date, and two methods of the sidecar had nearly the same name. Behaviour, bounds and assertions are as before.

--- a/internal/admission/mtpace/pace.go
+++ b/internal/admission/mtpace/pace.go
@@ -27,11 +27,14 @@
 // Started records the time from a request to its first token.
 func (p *Pace) Started(took time.Duration) { p.record(slowest{start: took}) }
 
-// Streamed records the time in which so many tokens came after the first.
-func (p *Pace) Streamed(took time.Duration, tokens int) {
-	if tokens >= minTokens {
-		p.record(slowest{token: took / time.Duration(tokens)})
+// Streamed records the time in which so many tokens came after the first. It reports false, and records
+// nothing, if they are too few.
+func (p *Pace) Streamed(took time.Duration, tokens int) bool {
+	if tokens < minTokens {
+		return false
 	}
+	p.record(slowest{token: took / time.Duration(tokens)})
+	return true
 }
 
 // Slowest returns the longest recent time to a first token, and the longest recent mean time for each
--- a/internal/relay/mtbeside/identify.go
+++ b/internal/relay/mtbeside/identify.go
@@ -17,8 +17,9 @@
 	maxIdentifyPause = 5 * time.Second
 )
 
-// follows takes in who answered a call for a report that was sent at a time; the sidecar is locked.
-func (s *Sidecar) follows(sent time.Time, report *fleetv1.Report, err error) {
+// noteProgram records who answered a call for a report that was sent at a time; the sidecar is
+// locked.
+func (s *Sidecar) noteProgram(sent time.Time, report *fleetv1.Report, err error) {
 	if err != nil {
 		s.lineage.Failed()
 		return
--- a/internal/relay/mtbeside/order.go
+++ b/internal/relay/mtbeside/order.go
@@ -25,7 +25,7 @@
 	}
 	s.mu.Lock()
 	changed := s.noted(report, err)
-	s.follows(sent, report, err)
+	s.noteProgram(sent, report, err)
 	s.mu.Unlock()
 	if changed {
 		s.tellAll()
--- a/internal/relay/mtfront/pace.go
+++ b/internal/relay/mtfront/pace.go
@@ -6,9 +6,6 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtpace"
 )
 
-// paceEvents is the number of events over which the pace of a stream is measured.
-const paceEvents = 8
-
 // pace is how slowly a service's engines answer.
 func (f *Front) pace(service string) *mtpace.Pace {
 	found, _ := f.paces.LoadOrStore(service, &mtpace.Pace{})
@@ -37,13 +34,10 @@
 		return
 	}
 	now := time.Now()
-	switch {
-	case s.since.IsZero():
+	if s.since.IsZero() {
 		s.pace.Started(now.Sub(sentAt))
-	case events-s.events < paceEvents:
+	} else if !s.pace.Streamed(now.Sub(s.since), events-s.events) {
 		return
-	default:
-		s.pace.Streamed(now.Sub(s.since), events-s.events)
 	}
 	s.since, s.events = now, events
 }
--- a/internal/relay/mtrollout/plan.go
+++ b/internal/relay/mtrollout/plan.go
@@ -313,7 +313,7 @@
 func (p *Plan) fence() int64 {
 	var greatest int64
 	for _, naming := range p.namings {
-		greatest = max(greatest, naming.Snapshot().GetRevision())
+		greatest = max(greatest, naming.Newest().GetRevision())
 	}
 	return greatest
 }
--- a/internal/request/mtculprit/culprits.go
+++ b/internal/request/mtculprit/culprits.go
@@ -81,8 +81,8 @@
 	c.change()
 }
 
-// suspected returns the components that were not answered of late. If they are many, those come
-// first that were at other crashes.
+// suspected returns the components that were not answered of late. If they are many, the whole
+// request comes first, and then the parts that were at most other crashes.
 func (c *Culprits) suspected(components []mtcomponent.Component) []mtcomponent.Component {
 	open := slices.DeleteFunc(slices.Clone(components), func(name mtcomponent.Component) bool {
 		at, answered := c.acquittals.At(name)
