--- a/internal/request/mtcrash/culprits.go
+++ b/internal/request/mtcrash/culprits.go
@@ -34,6 +34,7 @@
 			set = c.alike(s.name, s.crashes)
 			guilty = !rivalled(list[i+1:], s, set)
 		}
+		// What a whole request explains counts against none of its parts either.
 		set = reduce(set)
 		if guilty && !c.definite(set) {
 			// Crashes that such a set explained would count against nothing, and no request be refused.
@@ -172,7 +173,7 @@
 func (c *Crashes) successive(name mtcomponent.Component, crashes []*record) (alone, shared int) {
 	var last time.Time
 	for _, r := range crashes {
-		if !last.IsZero() && !r.sent[name].After(last.Add(tellTime)) {
+		if !r.sent[name].After(last.Add(tellTime)) {
 			continue
 		}
 		last = r.at
