--- a/review/scene-2/engine.go
+++ b/review/scene-2/engine.go
@@ -40,22 +40,28 @@
 	orders  int64
 	kept    map[string]map[string]cached
 	events  []any
+	epoch   int
 	running int
 	work    time.Duration
 	// status is the engine's own failure, 0 for none; unmarked says that it comes after the request has
 	// run, and without the mark of one that has not.
 	status   int
 	unmarked bool
+	// stop ends the running program; generation counts the programs before it.
+	stop       func()
+	generation int
 }
 
 // serve listens at the engine's address.
 func (e *engine) serve() {
 	listener := listen(e.address)
 	e.address = listener.Addr().String()
+	e.mu.Lock()
 	if e.version == 0 {
 		e.version = 1
 	}
-	e.kept = map[string]map[string]cached{}
+	e.kept, e.events, e.orders, e.epoch = map[string]map[string]cached{}, nil, 0, e.epoch+1
+	e.mu.Unlock()
 	mux := http.NewServeMux()
 	mux.HandleFunc("/api/report", e.report)
 	mux.HandleFunc("/api/order", e.order)
@@ -63,10 +69,43 @@
 	mux.HandleFunc("/api/kv-list", e.kvEvents)
 	mux.HandleFunc("/health", e.health)
 	mux.HandleFunc("/", e.request)
-	server := &http.Server{Handler: mux, MaxHeaderBytes: 1 << 20}
+	conns := &connections{open: map[net.Conn]bool{}}
+	server := &http.Server{Handler: mux, MaxHeaderBytes: 1 << 20, ConnState: conns.track}
+	e.stop = func() {
+		listener.Close()
+		conns.reset()
+	}
 	go func() { _ = server.Serve(listener) }()
 }
 
+// connections are those of one program.
+type connections struct {
+	mu   sync.Mutex
+	open map[net.Conn]bool
+}
+
+func (c *connections) track(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(c.open, conn)
+		return
+	}
+	c.open[conn] = true
+}
+
+// reset ends all connections as a crash does.
+func (c *connections) reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		conn.Close()
+	}
+}
+
 // entry is the engine's own entry in the store.
 func (e *engine) entry(state string) map[string]any {
 	entry := map[string]any{"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": state, "cold_remaining_ms": 0, "sequence": 1}
@@ -111,10 +150,10 @@
 		e.mu.Lock()
 		since = min(max(0, since), len(e.events))
 		found := append([]any{}, e.events[since:]...)
-		next := len(e.events)
+		next, epoch := len(e.events), e.epoch
 		e.mu.Unlock()
 		if len(found) > 0 || time.Now().After(end) {
-			answer(w, http.StatusOK, map[string]any{"boot_epoch": 1, "next": next, "lost": false, "events": found})
+			answer(w, http.StatusOK, map[string]any{"boot_epoch": epoch, "next": next, "lost": false, "events": found})
 			return
 		}
 	}
@@ -177,6 +216,11 @@
 		return
 	}
 	e.prefill(r, id, tenant)
+	if prompt := r.Header.Get("Mustardtide-Prompt-Prefix"); e.stage.deadly != nil && strings.Contains(prompt, deadlyPart) {
+		e.stage.deadly.crash(id, prompt)
+		e.crash()
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Mustardtide-Weight-Versions", strconv.FormatInt(e.version, 10))
 	for i := 1; i <= 5; i++ {
--- a/review/scene-2/main.go
+++ b/review/scene-2/main.go
@@ -11,7 +11,7 @@
 		fmt.Println("usage: stage CASE FOLDER, in the root of the repository")
 		os.Exit(2)
 	}
-	cases := map[string]func(*stage, bool) (broken string){"wall": wall, "refused": refused, "crowd": crowd, "keys": keys}
+	cases := map[string]func(*stage, bool) (broken string){"wall": wall, "refused": refused, "crowd": crowd, "keys": keys, "deadly": deadly}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fail(2, "no case %q", os.Args[1])
--- a/review/scene-2/stage.go
+++ b/review/scene-2/stage.go
@@ -51,6 +51,7 @@
 	ports   int
 	store   *store
 	engines []*engine
+	deadly  *deadlyCrowd
 
 	mu     sync.Mutex
 	record *os.File
