Check status codes before a head counts as a response

Seen by callers: an engine in trouble answers 000, and the client gets what follows, the body or the bytes behind it, as its answer: 200 with another answer's bytes. 101, 099, +20 likewise; 600, 999 and HTTP/3.7 were passed on.

Cause: the reader skipped every code below 200 as an interim response, and net/http's parser accepts any three digits and any version.

Change: mthead checks the bytes of heads as they are received. A code is 100 to 599, 101 excepted, which answers an upgrade that no request asks for. A major version other than 1 is no HTTP/1 response.

--- /dev/null
+++ b/internal/relay/mthead/checker.go
@@ -0,0 +1,83 @@
+// Package mthead checks the heads of HTTP/1 responses as they are received (RFC 9112, 4 and 5). The
+// parser of net/http leaves status codes to its callers and tolerates some heads that are no
+// response.
+package mthead
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"github.com/gravitational/trace"
+)
+
+// codeSize is the number of digits of a status code; codes from invalidCode on are of no class
+// (RFC 9110, 15).
+const (
+	codeSize    = 3
+	invalidCode = 600
+)
+
+// Checker checks the heads of one response, those of interim responses included. The zero value is
+// ready for use.
+type Checker struct {
+	// line is the part of a line that has been received.
+	line []byte
+	// begun reports whether the status line has been received, interim whether it is that of an
+	// interim response, and ended whether the heads are over.
+	begun, interim, ended bool
+}
+
+// Take checks the next bytes; those behind the heads are not looked at. Its error is
+// trace.BadParameter, and says why they are no response.
+func (c *Checker) Take(p []byte) error {
+	for !c.ended && len(p) > 0 {
+		part, rest, whole := bytes.Cut(p, []byte{'\n'})
+		p = rest
+		if !whole {
+			c.line = append(c.line, part...)
+			break
+		}
+		line := part
+		if len(c.line) > 0 {
+			c.line = append(c.line, part...)
+			line, c.line = c.line, nil
+		}
+		if err := c.takeLine(bytes.TrimSuffix(line, []byte{'\r'})); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+func (c *Checker) takeLine(line []byte) error {
+	switch {
+	case !c.begun:
+		c.begun = true
+		return c.takeStatus(line)
+	case len(line) == 0:
+		c.begun, c.ended = false, !c.interim
+	}
+	return nil
+}
+
+// takeStatus checks a status line. 101 answers an upgrade, for which no request asks. A code of no
+// class has no meaning that a caller could rely on: it counts as a failed response, as 502 says.
+func (c *Checker) takeStatus(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	if major, _, ok := http.ParseHTTPVersion(string(version)); !ok || major != 1 {
+		return trace.BadParameter("the response is of protocol %q", clip(version))
+	}
+	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+	code, err := strconv.ParseUint(string(text), 10, 16)
+	if err != nil || len(text) != codeSize || code < http.StatusContinue || code >= invalidCode || code == http.StatusSwitchingProtocols {
+		return trace.BadParameter("the response has status code %q", clip(text))
+	}
+	c.interim = code < http.StatusOK
+	return nil
+}
+
+// maxQuoted bounds what an error quotes of a response.
+const maxQuoted = 64
+
+func clip(text []byte) []byte { return text[:min(len(text), maxQuoted)] }
--- a/internal/relay/mtlink/link.go
+++ b/internal/relay/mtlink/link.go
@@ -142,19 +142,18 @@
 	return nil, trace.BadParameter("%s sent a response to another request", l.address)
 }
 
-// readHead reads the next response head that is not an interim response.
+// readHead reads the next response head that is not an interim response. No head that fails the
+// check of its bytes is returned.
 func (l *Link) readHead(request *http.Request) (*http.Response, error) {
-	l.source.inHead = true
-	l.source.left -= l.reader.Buffered()
-	defer func() {
-		l.source.inHead = false
-		l.source.left += l.reader.Buffered()
-	}()
+	// What is buffered is peeked without an error.
+	buffered, _ := l.reader.Peek(l.reader.Buffered())
+	l.source.beginHead(buffered)
+	defer func() { l.source.endHead(l.reader.Buffered()) }()
 	for {
 		l.source.lines = 0
 		response, err := http.ReadResponse(l.reader, request)
-		if l.source.passed {
-			return nil, trace.Wrap(ErrHead)
+		if l.source.fault != nil {
+			return nil, trace.Wrap(l.source.fault)
 		}
 		if err != nil {
 			return nil, trace.Wrap(err)
--- a/internal/relay/mtlink/source.go
+++ b/internal/relay/mtlink/source.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"time"
+
+	"github.com/mustardtide/mustardtide/internal/relay/mthead"
 )
 
 const (
@@ -25,12 +27,13 @@
 type source struct {
 	conn net.Conn
 	// inHead reports whether a head is being read, of which left bytes may follow and lines have
-	// been read. passed reports that a limit was passed: a reader of lines hides the error behind
-	// the part of a line before it.
-	inHead bool
-	left   int
-	lines  int
-	passed bool
+	// been read. checker checks it. fault is the error of a head that is not accepted: a reader of
+	// lines hides an error behind the part of a line before it.
+	inHead  bool
+	left    int
+	lines   int
+	checker mthead.Checker
+	fault   error
 	// span is how long bytes of a body may come without any of its content, 0 for any time; waited
 	// is how long they have, and pending reports whether one has come.
 	span    time.Duration
@@ -47,15 +50,37 @@
 		return s.readBody(p)
 	}
 	if s.left <= 0 || s.lines > maxHeadLines {
-		s.passed = true
+		s.fault = ErrHead
 		return 0, ErrHead
 	}
 	n, err := s.read(p[:min(len(p), s.left)])
 	s.left -= n
 	s.lines += bytes.Count(p[:n], []byte{'\n'})
+	if s.check(p[:n]); s.fault != nil {
+		return 0, s.fault
+	}
 	return n, err
 }
 
+// beginHead begins the heads of a response, of which some bytes have been read with the one before.
+func (s *source) beginHead(buffered []byte) {
+	s.inHead, s.checker = true, mthead.Checker{}
+	s.left -= len(buffered)
+	s.check(buffered)
+}
+
+// endHead ends them; some of the bytes that have been read lie behind them.
+func (s *source) endHead(buffered int) {
+	s.inHead = false
+	s.left += buffered
+}
+
+func (s *source) check(p []byte) {
+	if err := s.checker.Take(p); err != nil {
+		s.fault = err
+	}
+}
+
 // readBody reads from the connection. A target that is silent is waited for; one that sends only
 // framing, as the digits of one chunk size, is not.
 func (s *source) readBody(p []byte) (int, error) {
