Refuse answers with a field whose name is none

Seen by callers: an answer with "X Odd: 1" in its head came through without that line; with a blank before the colon of Content-Length or Transfer-Encoding its caller got 200 with another body than the engine's, such as the framing of its chunks.

Cause: net/http's parser allows a blank in a name, keeps such a field under its odd name, and so neither frames the body by it nor writes it again. RFC 9112, 5.1, allows none, and leaves a proxy no way to forward the head as it is.

Change: mthead checks the name of each field, those of interim heads too, and the link the fields behind a body. An answer with such a field is none: 502, another target where the request may be repeated, a visible cut where the stream has begun.

--- a/internal/relay/mthead/checker.go
+++ b/internal/relay/mthead/checker.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/net/http/httpguts"
 )
 
 // codeSize is the number of digits of a status code; codes from invalidCode on are of no class
@@ -57,8 +58,14 @@
 		return c.takeStatus(line)
 	case len(line) == 0:
 		c.begun, c.ended = false, !c.interim
+		return nil
+	case line[0] == ' ' || line[0] == '\t':
+		// The line continues the field before (RFC 9112, 5.2).
+		return nil
+	default:
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		return checkName(string(name))
 	}
-	return nil
 }
 
 // takeStatus checks a status line. 101 answers an upgrade, for which no request asks. A code of no
@@ -77,6 +84,26 @@
 	return nil
 }
 
+// CheckTrailer checks the fields behind a body, as they were parsed. Its error is
+// trace.BadParameter.
+func CheckTrailer(fields http.Header) error {
+	for name := range fields {
+		if err := checkName(name); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// checkName checks the name of a field. A blank or a control byte leaves open which field is meant,
+// one that tells where the body ends among them, so that no part of the response can be relied on.
+func checkName(name string) error {
+	if !httpguts.ValidHeaderFieldName(name) {
+		return trace.BadParameter("the response has a field named %q", name[:min(len(name), maxQuoted)])
+	}
+	return nil
+}
+
 // maxQuoted bounds what an error quotes of a response.
 const maxQuoted = 64
 
--- a/internal/relay/mtlink/link.go
+++ b/internal/relay/mtlink/link.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/mustardtide/mustardtide/internal/relay/mthead"
 )
 
 const (
@@ -50,9 +52,10 @@
 	reusable bool
 }
 
-// trackedBody records whether a body was read to its end.
+// trackedBody records whether a body was read to its end, and checks what follows it.
 type trackedBody struct {
 	io.ReadCloser
+	response *http.Response
 	source   *source
 	complete bool
 }
@@ -62,10 +65,14 @@
 	if n > 0 {
 		t.source.progress()
 	}
-	if errors.Is(err, io.EOF) {
-		t.complete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if err := mthead.CheckTrailer(t.response.Trailer); err != nil {
+		return n, trace.Wrap(err)
 	}
-	return n, err
+	t.complete = true
+	return n, io.EOF
 }
 
 func newLink(pool *Pool, address string, conn net.Conn) *Link {
@@ -129,7 +136,7 @@
 			return nil, trace.Wrap(err)
 		}
 		if matches(response) {
-			l.body = &trackedBody{ReadCloser: response.Body, source: l.source}
+			l.body = &trackedBody{ReadCloser: response.Body, response: response, source: l.source}
 			response.Body = l.body
 			l.reusable = !response.Close && selfDelimited(response)
 			return response, nil
