Refuse answers of HTTP/1.0 with a transfer coding

Seen by callers: 200 with the sizes and ends of the chunks as its body.

Cause: net/http's parser drops the field where the version is below 1.1, and the body then ends with the connection. RFC 9112, 6.1: the framing of such a message is faulty, even if it has a length.

Change: mthead refuses the head. HTTP/1.0 without a coding is answered as before (TestUnusualHeadsOfSoundAnswers).

Measured: TestTransferCodingOfHTTP10 failed before in 9 of 9 cases and passes. TestCheckAgreesWithTheParser compares the check with net/http's parser on drawn heads, whole and in two pieces: 20,000 draws, no difference.

--- a/internal/relay/mthead/checker.go
+++ b/internal/relay/mthead/checker.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/net/http/httpguts"
@@ -27,6 +28,8 @@
 	// begun reports whether the status line has been received, interim whether it is that of an
 	// interim response, and ended whether the heads are over.
 	begun, interim, ended bool
+	// minor is the minor version of the protocol.
+	minor int
 }
 
 // Take checks the next bytes; those behind the heads are not looked at. Its error is
@@ -64,17 +67,28 @@
 		return nil
 	default:
 		name, _, _ := bytes.Cut(line, []byte{':'})
-		return checkName(string(name))
+		return c.takeName(string(name))
 	}
 }
 
+// takeName checks the name of a field. HTTP/1.0 has no transfer codings: what frames the body of such
+// a response is not known (RFC 9112, 6.1).
+func (c *Checker) takeName(name string) error {
+	if c.minor == 0 && strings.EqualFold(name, "Transfer-Encoding") {
+		return trace.BadParameter("the response of HTTP/1.0 has a transfer coding")
+	}
+	return checkName(name)
+}
+
 // takeStatus checks a status line. 101 answers an upgrade, for which no request asks. A code of no
 // class has no meaning that a caller could rely on: it counts as a failed response, as 502 says.
 func (c *Checker) takeStatus(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte{' '})
-	if major, _, ok := http.ParseHTTPVersion(string(version)); !ok || major != 1 {
+	major, minor, ok := http.ParseHTTPVersion(string(version))
+	if !ok || major != 1 {
 		return trace.BadParameter("the response is of protocol %q", clip(version))
 	}
+	c.minor = minor
 	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
 	code, err := strconv.ParseUint(string(text), 10, 16)
 	if err != nil || len(text) != codeSize || code < http.StatusContinue || code >= invalidCode || code == http.StatusSwitchingProtocols {
