Tell a reset beside an upload from the end of an answer

Cause: a socket reports its reset once, to the writer or to the reader. Where the goroutine that writes the request meets it first, the reader finds an ordinary end, which is how an answer without a length ends; nobody asked how the writing had ended.

Change: at the end of a connection the link asks its upload. The reader in mtlink serves callers' requests and probes.

--- a/internal/relay/mtlink/link.go
+++ b/internal/relay/mtlink/link.go
@@ -45,9 +45,8 @@
 	// unfinished reports whether a request was started whose response has not been read to
 	// its end.
 	unfinished atomic.Bool
-	// written receives the result of a body that is written asynchronously.
-	written  chan error
-	writing  atomic.Bool
+	// upload is the last request if it is written asynchronously.
+	upload   *upload
 	body     *trackedBody
 	reusable bool
 }
@@ -76,8 +75,10 @@
 }
 
 func newLink(pool *Pool, address string, conn net.Conn) *Link {
-	from := &source{conn: conn}
-	return &Link{pool: pool, address: address, conn: conn, source: from, reader: bufio.NewReaderSize(from, bufferSize)}
+	link := &Link{pool: pool, address: address, conn: conn}
+	link.source = &source{conn: conn, ended: link.endOfStream}
+	link.reader = bufio.NewReaderSize(link.source, bufferSize)
+	return link
 }
 
 // Reused reports whether the connection has carried a request before.
@@ -88,6 +89,7 @@
 // goroutine has ended.
 func (l *Link) Send(method, uri, host string, header http.Header, body ...[]byte) error {
 	l.unfinished.Store(true)
+	l.upload = nil
 	var head bytes.Buffer
 	head.WriteString(method + " " + uri + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	if err := header.Write(&head); err != nil {
@@ -108,20 +110,19 @@
 		_, err := l.conn.Write(head.Bytes())
 		return trace.Wrap(err)
 	}
-	l.written = make(chan error, 1)
-	l.writing.Store(true)
-	go func() {
-		// Writing consumes the list, which is needed again for another target.
-		buffers := append(net.Buffers{head.Bytes()}, body...)
-		_, err := buffers.WriteTo(l.conn)
-		l.writing.Store(false)
-		l.written <- err
-	}()
+	// Writing consumes the list, which is needed again for another target.
+	l.upload = beginUpload(l.conn, append(net.Buffers{head.Bytes()}, body...))
 	return nil
 }
 
 // Written reports whether the request is not being written any more, so that its body is not in use.
-func (l *Link) Written() bool { return !l.writing.Load() }
+func (l *Link) Written() bool {
+	if l.upload == nil {
+		return true
+	}
+	ended, _ := l.upload.ended()
+	return ended
+}
 
 // Receive reads the head of the response for which matches returns true. A target may send
 // a late second response to an earlier request where the next one is expected: it
@@ -224,18 +225,13 @@
 	if l.closed.Load() || !l.reusable || l.body == nil || !l.body.complete || l.reader.Buffered() > 0 {
 		return false
 	}
-	if l.written == nil {
+	if l.upload == nil {
 		return true
 	}
 	// The response arrived before the body was read: the target must next read the rest
 	// of that body, so the connection can't carry another request.
-	select {
-	case err := <-l.written:
-		l.written = nil
-		return err == nil
-	default:
-		return false
-	}
+	ended, err := l.upload.ended()
+	return ended && err == nil
 }
 
 // Close closes the connection, which cancels its request at most targets. A connection
--- a/internal/relay/mtlink/link_test.go
+++ b/internal/relay/mtlink/link_test.go
@@ -35,13 +35,14 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { listener.Close() })
 	o := &target{g: g, listener: listener, scripts: make(chan []string, 8)}
-	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	}
-	o.pool = mtlink.NewPool(dial, func() { o.dials++ })
+	o.pool = mtlink.NewPool(dialTCP, func() { o.dials++ })
 	return o
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
 func (o *target) address() string { return o.listener.Addr().String() }
 
 // accept accepts the next connection and answers each request with the next text.
--- a/internal/relay/mtlink/source.go
+++ b/internal/relay/mtlink/source.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"time"
@@ -26,6 +27,8 @@
 // source reads from a connection, and limits what is read of heads.
 type source struct {
 	conn net.Conn
+	// ended returns the error of a connection that is at its end.
+	ended func() error
 	// inHead reports whether a head is being read, of which left bytes may follow and lines have
 	// been read. checker checks it. fault is the error of a head that is not accepted: a reader of
 	// lines hides an error behind the part of a line before it.
@@ -104,11 +107,14 @@
 
 func (s *source) read(p []byte) (int, error) {
 	n, err := s.conn.Read(p)
-	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-		return n, err
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if err := s.conn.SetReadDeadline(time.Now().Add(lastLook)); err != nil {
+			return 0, err
+		}
+		n, err = s.conn.Read(p)
 	}
-	if err := s.conn.SetReadDeadline(time.Now().Add(lastLook)); err != nil {
-		return 0, err
+	if errors.Is(err, io.EOF) {
+		err = s.ended()
 	}
-	return s.conn.Read(p)
+	return n, err
 }
