Read the responses of the store, services and processes with the same reader

Seen: net/http's transport, which calls to the store, to the programs beside sidecars of the own interface, to the platform's object API and between entries used, returned responses that are none: 000, 099, 600, HTTP/3.7, odd names in heads and trailers, HTTP/1.0 with chunks; after 101 and 099 the bytes behind them. A sidecar passed a service's answer on so.

Cause: the judgement of what is a response stood in mtlink, which only callers' requests and probes used.

Change: mttransport is an http.RoundTripper over mtlink, and Net.Outside returns it. It keeps what net/http's did: TLS, idle connections for 90 s and 64 per host (they are swept by a timer), a context's own errors, and a second try of a safe method where a kept connection turns out to be closed before any byte came. A request that may run once is never sent again by it. Connections without a socket of their own, such as TLS and those of tests, are looked at by a read whose deadline has passed before they are used again; the network in memory now ends such a read on a silent connection too. The fleet command uses it as well. Callers in tests keep net/http's transport, so that the product's reader is not the one that judges its answers.

--- a/internal/command/mtdemo/demo.go
+++ b/internal/command/mtdemo/demo.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	d := &Demo{fleet: fleet, http: &http.Client{Transport: fleet.Wire().Net().Outside()}}
+	d := &Demo{fleet: fleet, http: &http.Client{Transport: fleet.Wire().Transport()}}
 	if err := d.populate(); err != nil {
 		return nil, trace.NewAggregate(err, fleet.Close())
 	}
--- a/internal/command/mtoperator/operator_test.go
+++ b/internal/command/mtoperator/operator_test.go
@@ -63,7 +63,7 @@
 		g.Expect(fleet.AddTarget("trip-0", "trip", "imanta", mtengine.New(4, 20000, 10*time.Millisecond, 1000))).To(Succeed())
 		g.Expect(fleet.AddEntry("entry-0", "imanta")).To(Succeed())
 		time.Sleep(5 * time.Second)
-		callers := fleet.Wire().Net().Outside()
+		callers := fleet.Wire().Transport()
 		ask(g, &http.Client{Transport: callers}, fleet.Entry("entry-0"))
 
 		operator := mtoperator.New(fleet.Wire().Net(), fleet.Client(), nil)
--- a/internal/command/mttable/fleet.go
+++ b/internal/command/mttable/fleet.go
@@ -16,6 +16,7 @@
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1/fleetv1connect"
+	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 )
 
 // askTime bounds a question to an entry.
@@ -23,7 +24,7 @@
 
 // fleetStatus shows what an entry on the users' platform knows.
 func fleetStatus(ctx context.Context, address string, out io.Writer) error {
-	client := fleetv1connect.NewPeerServiceClient(&http.Client{Timeout: askTime}, "http://"+address)
+	client := fleetv1connect.NewPeerServiceClient(&http.Client{Transport: mtnet.System().Outside(), Timeout: askTime}, "http://"+address)
 	answer, err := client.Know(ctx, connect.NewRequest(&fleetv1.KnowRequest{Quotas: true}))
 	if err != nil {
 		return trace.ConnectionProblem(err, "no entry answers at %s; its address is the instance's and its third internal port", address)
--- a/internal/relay/mtlink/link.go
+++ b/internal/relay/mtlink/link.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -89,7 +90,7 @@
 // goroutine has ended.
 func (l *Link) Send(method, uri, host string, header http.Header, body ...[]byte) error {
 	l.unfinished.Store(true)
-	l.upload = nil
+	l.upload, l.source.received = nil, false
 	var head bytes.Buffer
 	head.WriteString(method + " " + uri + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	if err := header.Write(&head); err != nil {
@@ -177,6 +178,9 @@
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
+// Answered reports whether any byte has been received since the request was sent.
+func (l *Link) Answered() bool { return l.source.received }
+
 // Within lets what is read next of the response take at most a time, after which reading fails
 // with os.ErrDeadlineExceeded. Release ends the limit.
 func (l *Link) Within(d time.Duration) {
@@ -209,7 +213,7 @@
 	l.reused = true
 	l.BoundFraming(0)
 	l.body = nil
-	lifetime := maxIdleTime
+	lifetime := l.pool.idleTime
 	if idle > 0 {
 		lifetime = min(lifetime, time.Duration(float64(idle)*idleShare))
 	}
@@ -257,7 +261,7 @@
 	}
 	source, ok := l.conn.(syscall.Conn)
 	if !ok {
-		return true
+		return l.quiet()
 	}
 	raw, err := source.SyscallConn()
 	if err != nil {
@@ -274,3 +278,15 @@
 	})
 	return err == nil && quiet
 }
+
+// quiet is usable for a connection without a socket of its own, such as one with TLS.
+func (l *Link) quiet() bool {
+	if l.conn.SetReadDeadline(time.Unix(1, 0)) != nil {
+		return false
+	}
+	n, err := l.conn.Read(make([]byte, 1))
+	if n > 0 {
+		l.unfinished.Store(true)
+	}
+	return n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && l.conn.SetReadDeadline(time.Time{}) == nil
+}
--- a/internal/relay/mtlink/pool.go
+++ b/internal/relay/mtlink/pool.go
@@ -21,7 +21,7 @@
 	maxIdleTime = 4 * time.Second
 	// idleShare is the share of the target's own idle time-out that is used.
 	idleShare = 0.6
-	// maxIdlePerTarget limits the idle connections kept per address.
+	// maxIdlePerTarget limits the idle connections kept per address, unless KeepIdle says otherwise.
 	maxIdlePerTarget = 32
 )
 
@@ -31,6 +31,10 @@
 
 	// maxIdle limits the idle connections to all targets, 0 for no limit.
 	maxIdle int
+	// idleTime and idlePerTarget limit how long an idle connection is kept, and how many of them per
+	// address.
+	idleTime      time.Duration
+	idlePerTarget int
 
 	mu   sync.Mutex
 	idle map[string][]*Link
@@ -42,7 +46,13 @@
 
 // NewPool returns an empty pool; dialed is called for each new connection.
 func NewPool(dial func(ctx context.Context, address string) (net.Conn, error), dialed func()) *Pool {
-	return &Pool{dial: dial, idle: map[string][]*Link{}, dialed: dialed}
+	return &Pool{dial: dial, idleTime: maxIdleTime, idlePerTarget: maxIdlePerTarget, idle: map[string][]*Link{}, dialed: dialed}
+}
+
+// KeepIdle sets for how long idle connections are kept unless their targets say less, and how many per
+// address. It is called before Take.
+func (p *Pool) KeepIdle(idle time.Duration, perTarget int) {
+	p.idleTime, p.idlePerTarget = idle, perTarget
 }
 
 // BoundIdle limits the idle connections to all targets, 0 for no limit. It is called before Take.
@@ -120,7 +130,7 @@
 func (p *Pool) push(link *Link) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[link.address]) >= maxIdlePerTarget || p.maxIdle > 0 && p.kept >= p.maxIdle {
+	if len(p.idle[link.address]) >= p.idlePerTarget || p.maxIdle > 0 && p.kept >= p.maxIdle {
 		return false
 	}
 	p.kept++
--- a/internal/relay/mtlink/source.go
+++ b/internal/relay/mtlink/source.go
@@ -37,6 +37,8 @@
 	lines   int
 	checker mthead.Checker
 	fault   error
+	// received reports whether any byte was read since the last request.
+	received bool
 	// span is how long bytes of a body may come without any of its content, 0 for any time; waited
 	// is how long they have, and pending reports whether one has come.
 	span    time.Duration
@@ -116,5 +118,6 @@
 	if errors.Is(err, io.EOF) {
 		err = s.ended()
 	}
+	s.received = s.received || n > 0
 	return n, err
 }
--- a/internal/request/mtclaim/claims_test.go
+++ b/internal/request/mtclaim/claims_test.go
@@ -19,6 +19,7 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtevent"
 	"github.com/mustardtide/mustardtide/internal/observe/mtstamp"
 	platformclient "github.com/mustardtide/mustardtide/internal/outside/mtplatform"
+	"github.com/mustardtide/mustardtide/internal/relay/mttransport"
 	"github.com/mustardtide/mustardtide/internal/request/mtclaim"
 	"github.com/mustardtide/mustardtide/internal/standin/mtplatform"
 	"github.com/mustardtide/mustardtide/internal/standin/mtwire"
@@ -35,7 +36,7 @@
 	Gomega
 	ctx       context.Context
 	store     *mtplatform.Server
-	transport *http.Transport
+	transport *mttransport.Transport
 	ends      []<-chan error
 }
 
--- a/internal/role/mtentry/caller_test.go
+++ b/internal/role/mtentry/caller_test.go
@@ -80,7 +80,7 @@
 }
 
 func newCaller(fleet *mtfleet.Fleet) *pathCaller {
-	return &pathCaller{transport: fleet.Wire().Net().Outside(), context: context.Background()}
+	return &pathCaller{transport: fleet.Wire().Transport(), context: context.Background()}
 }
 
 func (c *pathCaller) close() { c.transport.CloseIdleConnections() }
--- a/internal/role/mtnet/net.go
+++ b/internal/role/mtnet/net.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/mustardtide/mustardtide/internal/relay/mttransport"
 )
 
 // Times that bound a connection: a dial to an instance that is gone, and the
@@ -18,7 +20,6 @@
 	pingEvery   = 2 * time.Second
 	pingTimeout = 3 * time.Second
 	idleTimeout = 90 * time.Second
-	idlePerHost = 64
 	// streamWindow bounds what a transport holds of one stream whose reader is
 	// slow; net/http's own default is 4 MB.
 	streamWindow = 256 << 10
@@ -118,17 +119,6 @@
 	return errors.As(err, &dial) && dial.Op == "dial"
 }
 
-// maxHead limits in bytes the head of a response from outside, interim responses included.
-const maxHead = 64 << 10
-
-// Outside returns the transport to targets and the platform: plain HTTP/1.1.
-func (n *Net) Outside() *http.Transport {
-	return &http.Transport{
-		DialContext:         n.dial,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: idlePerHost,
-		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: maxHead,
-	}
-}
+// Outside returns the transport to targets and the platform: plain HTTP/1.1, whose responses are
+// checked.
+func (n *Net) Outside() *mttransport.Transport { return mttransport.New(n.Dial) }
--- a/internal/role/mtsync/fleet_test.go
+++ b/internal/role/mtsync/fleet_test.go
@@ -47,7 +47,7 @@
 		g := NewWithT(t)
 		fleet, err := mtfleet.New()
 		g.Expect(err).NotTo(HaveOccurred())
-		w := &world{Gomega: g, Fleet: fleet, transport: fleet.Wire().Net().Outside()}
+		w := &world{Gomega: g, Fleet: fleet, transport: fleet.Wire().Transport()}
 		defer func() {
 			w.transport.CloseIdleConnections()
 			g.Expect(fleet.Close()).To(Succeed())
--- a/internal/role/mtsync/sync.go
+++ b/internal/role/mtsync/sync.go
@@ -21,6 +21,7 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtevent"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/outside/mtplatform"
+	"github.com/mustardtide/mustardtide/internal/relay/mttransport"
 	"github.com/mustardtide/mustardtide/internal/role/mtcontrol"
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/settings/mtmanifest"
@@ -42,7 +43,7 @@
 	process   *mustardtidev1.Process
 	scheme    string
 	transport *http.Transport
-	outside   *http.Transport
+	outside   *mttransport.Transport
 	log       *mtevent.Log
 	spread    *mtspread.Spread
 	list      *mtlist.List
--- a/internal/settings/mtmanifest/manifest_test.go
+++ b/internal/settings/mtmanifest/manifest_test.go
@@ -36,12 +36,12 @@
 
 // hook calls after with each request that was answered or lost.
 type hook struct {
-	*http.Transport
+	http.RoundTripper
 	operator *operator
 }
 
 func (h hook) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := h.Transport.RoundTrip(r)
+	response, err := h.RoundTripper.RoundTrip(r)
 	if h.operator.after != nil {
 		h.operator.after(r)
 	}
@@ -60,7 +60,7 @@
 		go func() { done <- server.Serve(listener) }()
 		transport := wire.Net().Outside()
 		o := &operator{Gomega: g, ctx: t.Context(), store: store}
-		o.client = mtplatform.New("http://"+address, "default", hook{Transport: transport, operator: o})
+		o.client = mtplatform.New("http://"+address, "default", hook{RoundTripper: transport, operator: o})
 		defer func() {
 			transport.CloseIdleConnections()
 			g.Expect(server.Close()).To(Succeed())
--- a/internal/standin/mtfleet/fleet_test.go
+++ b/internal/standin/mtfleet/fleet_test.go
@@ -44,7 +44,7 @@
 		request, err := http.NewRequest(http.MethodPost, fleet.Entry("entry-0")+"/v1/completions", strings.NewReader(body))
 		g.Expect(err).NotTo(HaveOccurred())
 		request.Header.Set("Authorization", "Bearer schools-key")
-		transport := fleet.Wire().Net().Outside()
+		transport := fleet.Wire().Transport()
 		response, err := (&http.Client{Transport: transport}).Do(request)
 		g.Expect(err).NotTo(HaveOccurred())
 		answer, err := io.ReadAll(response.Body)
--- a/internal/standin/mtfleet/once_test.go
+++ b/internal/standin/mtfleet/once_test.go
@@ -77,7 +77,7 @@
 		g.Expect(fleet.AddEntry("entry-0", "imanta")).To(Succeed())
 		g.Expect(fleet.AddEntry("entry-1", "imanta")).To(Succeed())
 		time.Sleep(5 * time.Second)
-		transport := fleet.Wire().Net().Outside()
+		transport := fleet.Wire().Transport()
 		client := &http.Client{Transport: transport}
 		entries := []string{fleet.Entry("entry-0"), fleet.Entry("entry-1")}
 
@@ -139,7 +139,7 @@
 		}
 		g.Expect(fleet.AddEntry("entry-0", "imanta")).To(Succeed())
 		time.Sleep(5 * time.Second)
-		transport := fleet.Wire().Net().Outside()
+		transport := fleet.Wire().Transport()
 		client := &http.Client{Transport: transport}
 		entry := fleet.Entry("entry-0")
 		for i := range 32 {
--- a/internal/standin/mtfleet/placement_test.go
+++ b/internal/standin/mtfleet/placement_test.go
@@ -29,7 +29,7 @@
 	fleet, err := mtfleet.New()
 	d.g.Expect(err).NotTo(HaveOccurred())
 	d.fleet = fleet
-	d.client = &http.Client{Transport: fleet.Wire().Net().Outside()}
+	d.client = &http.Client{Transport: fleet.Wire().Transport()}
 	d.g.Expect(fleet.Submit(base)).To(Succeed())
 	for i := range engines {
 		d.engines = append(d.engines, mtengine.New(8, 20000, 10*time.Millisecond, 4000))
--- a/internal/standin/mtfleet/poison_test.go
+++ b/internal/standin/mtfleet/poison_test.go
@@ -54,7 +54,7 @@
 	fleet, err := mtfleet.New()
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(fleet.Submit(poisonBase)).To(Succeed())
-	p := &poisonFleet{Fleet: fleet, g: g, client: &http.Client{Transport: fleet.Wire().Net().Outside()}, gone: -1}
+	p := &poisonFleet{Fleet: fleet, g: g, client: &http.Client{Transport: fleet.Wire().Transport()}, gone: -1}
 	for i := range 4 {
 		engine := mtengine.New(8, 20000, 10*time.Millisecond, 1000)
 		engine.CrashOn(poisonMarker)
--- a/internal/standin/mtfleet/proof_cache_test.go
+++ b/internal/standin/mtfleet/proof_cache_test.go
@@ -119,7 +119,7 @@
 	g.Expect(h.fleet.Submit(cacheBase(h.version))).To(Succeed())
 	g.Expect(h.fleet.AddTarget("trip-0", "trip", "imanta", h.engine)).To(Succeed())
 	g.Expect(h.fleet.AddEntry("entry-0", "imanta")).To(Succeed())
-	outside := h.fleet.Wire().Net().Outside()
+	outside := h.fleet.Wire().Transport()
 	h.client = &http.Client{Transport: outside, Timeout: 10 * time.Minute}
 	h.inner = h.fleet.Wire().Net().Internal()
 	h.sidecar = mustardtidev1connect.NewSidecarServiceClient(&http.Client{Transport: h.inner}, "http://"+h.fleet.Address("trip-0"))
--- a/internal/standin/mtfleet/proof_once_test.go
+++ b/internal/standin/mtfleet/proof_once_test.go
@@ -83,7 +83,7 @@
 	for i := range onceEntries {
 		h.Expect(h.fleet.AddEntry(fmt.Sprintf("entry-%d", i), "imanta")).To(Succeed())
 	}
-	h.client = &http.Client{Transport: h.fleet.Wire().Net().Outside(), Timeout: time.Minute}
+	h.client = &http.Client{Transport: h.fleet.Wire().Transport(), Timeout: time.Minute}
 	time.Sleep(5 * time.Second)
 	h.start = time.Now()
 }
--- a/internal/standin/mtfleet/proof_order_test.go
+++ b/internal/standin/mtfleet/proof_order_test.go
@@ -22,6 +22,7 @@
 	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	platformclient "github.com/mustardtide/mustardtide/internal/outside/mtplatform"
+	"github.com/mustardtide/mustardtide/internal/relay/mttransport"
 	"github.com/mustardtide/mustardtide/internal/standin/mtengine"
 	"github.com/mustardtide/mustardtide/internal/standin/mtfleet"
 	"github.com/mustardtide/mustardtide/internal/standin/mtproof"
@@ -67,7 +68,7 @@
 	loads  map[string]int
 	most   int
 	sent   []orderSent
-	stores []*http.Transport
+	stores []*mttransport.Transport
 }
 
 // orderSent is an order as its operator saw it.
--- a/internal/standin/mtfleet/rate_test.go
+++ b/internal/standin/mtfleet/rate_test.go
@@ -128,7 +128,7 @@
 		fleet, err := mtfleet.New()
 		g.Expect(err).NotTo(HaveOccurred())
 		f := &rateFleet{
-			Fleet: fleet, t: t, g: g, client: &http.Client{Transport: fleet.Wire().Net().Outside()}, refused: map[string]int{},
+			Fleet: fleet, t: t, g: g, client: &http.Client{Transport: fleet.Wire().Transport()}, refused: map[string]int{},
 			meter: &meter{program: mtengine.New(64, 1e6, time.Millisecond, 10), used: map[string][]taken{}},
 		}
 		defer func() {
--- a/internal/standin/mtfleet/refusal_test.go
+++ b/internal/standin/mtfleet/refusal_test.go
@@ -66,7 +66,7 @@
 	fleet, err := mtfleet.New()
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(fleet.Submit(fullBase)).To(Succeed())
-	f := &fullFleet{Fleet: fleet, g: g, client: &http.Client{Transport: fleet.Wire().Net().Outside()}}
+	f := &fullFleet{Fleet: fleet, g: g, client: &http.Client{Transport: fleet.Wire().Transport()}}
 	for i := range 2 {
 		engine := mtengine.New(4, 2000, 10*time.Millisecond, 10)
 		f.engines = append(f.engines, engine)
--- a/internal/standin/mtplatform/faults_test.go
+++ b/internal/standin/mtplatform/faults_test.go
@@ -14,6 +14,7 @@
 	mustardtidev1 "github.com/mustardtide/mustardtide/gen/mustardtide/v1"
 	platformclient "github.com/mustardtide/mustardtide/internal/outside/mtplatform"
 	"github.com/mustardtide/mustardtide/internal/outside/mtrecord"
+	"github.com/mustardtide/mustardtide/internal/relay/mttransport"
 	"github.com/mustardtide/mustardtide/internal/standin/mtplatform"
 	"github.com/mustardtide/mustardtide/internal/standin/mtwire"
 )
@@ -21,7 +22,7 @@
 const address = "10.0.0.1:80"
 
 // withPlatform runs a test against a store on a network in memory.
-func withPlatform(t *testing.T, test func(ctx context.Context, g Gomega, store *mtplatform.Server, client *platformclient.Client, transport *http.Transport)) {
+func withPlatform(t *testing.T, test func(ctx context.Context, g Gomega, store *mtplatform.Server, client *platformclient.Client, transport *mttransport.Transport)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		wire := mtwire.New()
@@ -42,7 +43,7 @@
 // Story: the platform fails in each way that the brief names. A client must be
 // able to tell a refused call from one whose effect it can't know.
 func TestFaults(t *testing.T) {
-	withPlatform(t, func(ctx context.Context, g Gomega, store *mtplatform.Server, client *platformclient.Client, _ *http.Transport) {
+	withPlatform(t, func(ctx context.Context, g Gomega, store *mtplatform.Server, client *platformclient.Client, _ *mttransport.Transport) {
 		faults := store.Faults()
 		_, err := client.Create(ctx, "claims.0.1", []byte("first"))
 		g.Expect(err).NotTo(HaveOccurred())
@@ -90,7 +91,7 @@
 
 // Story: a watch breaks, and the list of instances lags by ten seconds.
 func TestWatchAndLag(t *testing.T) {
-	withPlatform(t, func(ctx context.Context, g Gomega, store *mtplatform.Server, client *platformclient.Client, transport *http.Transport) {
+	withPlatform(t, func(ctx context.Context, g Gomega, store *mtplatform.Server, client *platformclient.Client, transport *mttransport.Transport) {
 		end := make(chan error, 1)
 		go func() { end <- client.Watch(ctx, "claims.0", "0", func(mtrecord.Record) {}) }()
 		synctest.Wait()
--- a/internal/standin/mtwire/conn.go
+++ b/internal/standin/mtwire/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -56,7 +57,7 @@
 		if errors.Is(err, io.EOF) && c.other.abrupt.Load() {
 			err = syscall.ECONNRESET
 		}
-		if !c.silent.Load() {
+		if !c.silent.Load() || errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 		if err != nil {
--- a/internal/standin/mtwire/wire.go
+++ b/internal/standin/mtwire/wire.go
@@ -6,12 +6,16 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 )
 
+// callerIdle is the number of idle connections that callers keep.
+const callerIdle = 64
+
 // backlog is the number of connections that wait for an accept.
 const backlog = 64
 
@@ -44,6 +48,11 @@
 // Net is this network as roles take it.
 func (w *Wire) Net() *mtnet.Net { return mtnet.New(w.Listen, w.Dial) }
 
+// Transport is that of net/http on this network, for callers of the system.
+func (w *Wire) Transport() *http.Transport {
+	return &http.Transport{DialContext: w.Dial, MaxIdleConnsPerHost: callerIdle, DisableCompression: true}
+}
+
 // Listen opens an address.
 func (w *Wire) Listen(address string) (net.Listener, error) {
 	at, err := netip.ParseAddrPort(address)
