Follow the other instances where one slice can't be read

Seen, on the own interface: one EndpointSlice that is nested too deeply, or has a port or a name of another type, and the list of instances can't be read; the watch ends at it again and again.

Records stay strict: a claim that can't be read must not be taken for one that was never made.

--- a/internal/outside/mtplatform/watch.go
+++ b/internal/outside/mtplatform/watch.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/mustardtide/mustardtide/internal/outside/mtrecord"
+	"github.com/mustardtide/mustardtide/internal/outside/mtsplit"
 )
 
 // maxLine bounds one line of a watch: a value in base64 with its metadata.
@@ -56,8 +57,8 @@
 	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(nil, maxLine)
 	for lines.Scan() {
-		var event watchEvent
-		if err := json.Unmarshal(lines.Bytes(), &event); err != nil {
+		event, err := decodeEvent(lines.Bytes())
+		if err != nil {
 			return trace.ConnectionProblem(err, "the watch sent a broken line")
 		}
 		if event.Type == "ERROR" {
@@ -70,6 +71,22 @@
 	return watchEnd(ctx, lines.Err())
 }
 
+// decodeEvent reads a line of a watch. Its object is not checked where that is what can't be read.
+func decodeEvent(line []byte) (watchEvent, error) {
+	var event watchEvent
+	err := json.Unmarshal(line, &event)
+	if err == nil {
+		return event, nil
+	}
+	members, splitErr := mtsplit.Value(line).Members()
+	if splitErr != nil {
+		return watchEvent{}, err
+	}
+	event = watchEvent{Object: json.RawMessage(members["object"])}
+	err = json.Unmarshal(members["type"], &event.Type)
+	return event, err
+}
+
 func watchEnd(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return trace.Wrap(ctx.Err())
