Take a stream for the only version's only if another entry confirms it

Cause: a stream whose origin is not found is taken for one of the only build that the service has run for as long as streams last. Nobody's answer counted as no objection while the store was not known to be away, which takes a second or two to show; and without a named request nobody was asked.

Change: other entries name the one build that they know (Found.only), and are asked for a nameless stream too. One of them must name the same; where none answers, own knowledge is enough only if no other entry was heard of for as long as streams last, and the store answers. Else the caller is told to begin anew, as before where several builds are known.

Ruled out: the time since the store's last answer, as a watch may wait longer than a stream takes to begin and break.

--- a/internal/members/mtbuilds/builds.go
+++ b/internal/members/mtbuilds/builds.go
@@ -65,6 +65,18 @@
 	return list[0], true
 }
 
+// Listed returns the one build that a service's targets are known to have run within a time; "" where
+// there were several or no complete list is known. The record may not reach that far back.
+func (b *Builds) Listed(service string, within time.Duration) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := b.within(service, within)
+	if len(list) != 1 || b.since.IsZero() {
+		return ""
+	}
+	return list[0]
+}
+
 // Several reports whether a service's targets are known to have run several builds within a time.
 func (b *Builds) Several(service string, within time.Duration) bool {
 	b.mu.Lock()
--- a/internal/relay/mtfront/lookup.go
+++ b/internal/relay/mtfront/lookup.go
@@ -127,45 +127,56 @@
 			return origin, originFound, from
 		}
 	}
-	if build := r.onlyBuild(search); build != "" {
+	if build := r.onlyBuild(ctx, search); build != "" {
 		return &fleetv1.Origin{Service: r.service.GetName(), Build: build}, originOnly, ""
 	}
 	return nil, originUnknown, ""
 }
 
-// onlyBuild is the one build that can have begun the stream after a lookup that found nothing; ""
-// where there may be several. An isolated entry may have missed another.
-func (r *request) onlyBuild(search *mtsearch.Search) string {
+// onlyBuild is the one build that can have begun the stream, whose origin a lookup has not found, or
+// nil where the caller does not name it; "" where there may be several. What this entry knows is not
+// enough while there are others: if it was isolated or suspended for a moment, engines of another
+// build may have joined and begun the stream meanwhile.
+func (r *request) onlyBuild(ctx context.Context, search *mtsearch.Search) string {
 	for _, share := range r.route.GetShares() {
 		if share.GetService() != r.service.GetName() && share.GetWeight() > 0 {
 			return ""
 		}
 	}
-	switch {
-	case search == nil || search.Responses() == 0:
-		if r.front.away.Load() > 0 {
-			return ""
-		}
-	case search.Mixed():
-		return ""
-	}
 	build, only := r.front.builds.Only(r.service.GetName(), r.span())
 	if !only {
 		return ""
 	}
-	return build
+	if search == nil {
+		stream := r.named(r.ask.GetId())
+		search = r.lookUp(ctx, stream, r.front.originEntries(stream, originsQueried))
+	}
+	confirmed := search.Builds()
+	switch {
+	case search.Mixed() || len(confirmed) > 1:
+		return ""
+	case len(confirmed) == 1 && confirmed[0] == build:
+		return build
+	case len(confirmed) == 1, r.front.peers.heardWithin(r.span()), r.front.away.Load() > 0:
+		return ""
+	default:
+		return build
+	}
 }
 
 // lookUpOrigin queries the replicas that may store a stream's origin until one returns it.
 func (r *request) lookUpOrigin(ctx context.Context, stream []byte) *mtsearch.Search {
+	f := r.front
+	return r.lookUp(ctx, stream, slices.Concat(f.replicaSidecars(stream, originReplicas, true),
+		f.replicaSidecars(stream, originsQueried, false), f.originEntries(stream, originsQueried)))
+}
+
+// lookUp asks processes for a stream's origin, and for the builds that may have begun it.
+func (r *request) lookUp(ctx context.Context, stream []byte, keepers []keeper) *mtsearch.Search {
 	f := r.front
 	asked := map[string]keeper{}
-	for _, list := range [][]keeper{
-		f.replicaSidecars(stream, originReplicas, true), f.replicaSidecars(stream, originsQueried, false), f.originEntries(stream, originsQueried),
-	} {
-		for _, k := range list {
-			asked[k.name()] = k
-		}
+	for _, k := range keepers {
+		asked[k.name()] = k
 	}
 	search := mtsearch.New(slices.Sorted(maps.Keys(asked)))
 	number := f.lookups.begin(search)
--- a/internal/relay/mtfront/origin.go
+++ b/internal/relay/mtfront/origin.go
@@ -182,9 +182,10 @@
 
 // answerLookup replies with what this entry stores of a stream.
 func (f *Front) answerLookup(from string, lookup *fleetv1.Lookup) {
+	span := time.Duration(lookup.GetSpan()) * time.Millisecond
 	found := &fleetv1.Found{
 		Ask: lookup.GetAsk(), Origin: f.origins.Find(lookup.GetStream()),
-		Mixed: f.builds.Several(lookup.GetService(), time.Duration(lookup.GetSpan())*time.Millisecond),
+		Mixed: f.builds.Several(lookup.GetService(), span), Only: f.builds.Listed(lookup.GetService(), span),
 	}
 	f.words.Send(from, &fleetv1.Word{Word: &fleetv1.Word_Found{Found: found}})
 }
--- a/internal/relay/mtfront/peers.go
+++ b/internal/relay/mtfront/peers.go
@@ -27,6 +27,8 @@
 type peers struct {
 	mu    sync.Mutex
 	known map[string]peer
+	// last is when any of them was heard of.
+	last time.Time
 }
 
 // peer is another entry.
@@ -73,6 +75,7 @@
 	}
 	if _, ok := p.known[address]; ok || len(p.known) < maxPeers {
 		other.last = time.Now()
+		p.last = other.last
 		p.known[address] = other
 	}
 }
@@ -151,6 +154,13 @@
 	return list
 }
 
+// heardWithin reports whether any was heard of within a time, those that have gone since among them.
+func (p *peers) heardWithin(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.last.IsZero() && time.Since(p.last) < d
+}
+
 // count is the number of the live ones.
 func (p *peers) count() int {
 	p.mu.Lock()
--- a/internal/request/mtsearch/search.go
+++ b/internal/request/mtsearch/search.go
@@ -10,14 +10,14 @@
 
 // Search is one lookup. It is safe for concurrent use.
 type Search struct {
-	mu        sync.Mutex
-	pending   []string
-	responses int
-	mixed     bool
-	origin    *fleetv1.Origin
-	from      string
-	done      chan struct{}
-	ended     bool
+	mu      sync.Mutex
+	pending []string
+	mixed   bool
+	builds  []string
+	origin  *fleetv1.Origin
+	from    string
+	done    chan struct{}
+	ended   bool
 }
 
 // New returns a lookup at some replicas, which is done at once where there are none.
@@ -36,8 +36,10 @@
 		return
 	}
 	s.pending = slices.Delete(s.pending, at, at+1)
-	s.responses++
 	s.mixed = s.mixed || found.GetMixed()
+	if build := found.GetOnly(); build != "" && !slices.Contains(s.builds, build) {
+		s.builds = append(s.builds, build)
+	}
 	if found.GetOrigin() != nil {
 		s.origin, s.from = found.GetOrigin(), from
 	}
@@ -69,11 +71,11 @@
 	return s.origin, s.from
 }
 
-// Responses is the number of replicas that have answered.
-func (s *Search) Responses() int {
+// Builds lists what replicas name as the only build that may have begun the stream.
+func (s *Search) Builds() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.responses
+	return slices.Clone(s.builds)
 }
 
 // Mixed reports whether a replica knows of several builds that may have begun the stream.
--- a/internal/request/mtsearch/search_test.go
+++ b/internal/request/mtsearch/search_test.go
@@ -52,10 +52,11 @@
 		s.Take(from, &fleetv1.Found{Mixed: from == "d"})
 	}
 	g.Expect(ended(s)).To(BeFalse())
-	g.Expect(s.Responses()).To(Equal(1))
+	g.Expect(s.Pending()).To(ConsistOf("b"))
 	g.Expect(s.Mixed()).To(BeFalse())
 	s.Take("b", &fleetv1.Found{Mixed: true})
 	g.Expect(ended(s)).To(BeTrue())
 	g.Expect(s.Mixed()).To(BeTrue())
 	g.Expect(ended(mtsearch.New(nil))).To(BeTrue())
+	g.Expect(s.Builds()).To(BeEmpty())
 }
