Do not take an invalid answer for a crash

Seen in a test: engines answer 000, and from the fourth request on those that share a part of their prompts are refused with 503, as if the part crashed engines; so are sound ones.

Cause: an answer that can't be read ended its send like a connection that broke off, and each such end is evidence against the request's parts. A target that answers has not crashed.

Change: an invalid answer is a bound of its own, form, like a head without end: a failure of the target alone, counted in responses_cut_total{bound="form"} and named in send-lost and request-failed.

--- a/internal/relay/mtfront/bound.go
+++ b/internal/relay/mtfront/bound.go
@@ -9,6 +9,7 @@
 	"time"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/relay/mthead"
 	"github.com/mustardtide/mustardtide/internal/relay/mtlink"
 	"github.com/mustardtide/mustardtide/internal/request/mtpatience"
 )
@@ -33,6 +34,7 @@
 	boundBody     = "body"
 	boundTime     = "time"
 	boundEnd      = "end"
+	boundForm     = "form"
 )
 
 // boundOf names the bound that an error is of, "" for none.
@@ -44,6 +46,8 @@
 		return boundEvent
 	case errors.Is(err, mtpatience.ErrLate), errors.Is(err, mtlink.ErrFraming):
 		return boundPatience
+	case errors.Is(err, mthead.ErrInvalid):
+		return boundForm
 	case errors.Is(err, errPlain):
 		return boundBody
 	default:
--- a/internal/relay/mthead/checker.go
+++ b/internal/relay/mthead/checker.go
@@ -5,6 +5,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,6 +22,9 @@
 	invalidCode = 600
 )
 
+// ErrInvalid is the error of bytes that are no response.
+var ErrInvalid = errors.New("what was received is no response")
+
 // Checker checks the heads of one response, those of interim responses included. The zero value is
 // ready for use.
 type Checker struct {
@@ -32,8 +37,8 @@
 	minor int
 }
 
-// Take checks the next bytes; those behind the heads are not looked at. Its error is
-// trace.BadParameter, and says why they are no response.
+// Take checks the next bytes; those behind the heads are not looked at. Its error is ErrInvalid, and
+// says what is wrong.
 func (c *Checker) Take(p []byte) error {
 	for !c.ended && len(p) > 0 {
 		part, rest, whole := bytes.Cut(p, []byte{'\n'})
@@ -75,7 +80,7 @@
 // a response is not known (RFC 9112, 6.1).
 func (c *Checker) takeName(name string) error {
 	if c.minor == 0 && strings.EqualFold(name, "Transfer-Encoding") {
-		return trace.BadParameter("the response of HTTP/1.0 has a transfer coding")
+		return invalid("HTTP/1.0 with a transfer coding")
 	}
 	return checkName(name)
 }
@@ -86,20 +91,19 @@
 	version, rest, _ := bytes.Cut(line, []byte{' '})
 	major, minor, ok := http.ParseHTTPVersion(string(version))
 	if !ok || major != 1 {
-		return trace.BadParameter("the response is of protocol %q", clip(version))
+		return invalid("protocol %q", clip(version))
 	}
 	c.minor = minor
 	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
 	code, err := strconv.ParseUint(string(text), 10, 16)
 	if err != nil || len(text) != codeSize || code < http.StatusContinue || code >= invalidCode || code == http.StatusSwitchingProtocols {
-		return trace.BadParameter("the response has status code %q", clip(text))
+		return invalid("status code %q", clip(text))
 	}
 	c.interim = code < http.StatusOK
 	return nil
 }
 
-// CheckTrailer checks the fields behind a body, as they were parsed. Its error is
-// trace.BadParameter.
+// CheckTrailer checks the fields behind a body, as they were parsed. Its error is ErrInvalid.
 func CheckTrailer(fields http.Header) error {
 	for name := range fields {
 		if err := checkName(name); err != nil {
@@ -113,7 +117,7 @@
 // one that tells where the body ends among them, so that no part of the response can be relied on.
 func checkName(name string) error {
 	if !httpguts.ValidHeaderFieldName(name) {
-		return trace.BadParameter("the response has a field named %q", name[:min(len(name), maxQuoted)])
+		return invalid("a field named %q", clip([]byte(name)))
 	}
 	return nil
 }
@@ -121,4 +125,8 @@
 // maxQuoted bounds what an error quotes of a response.
 const maxQuoted = 64
 
+func invalid(format string, text ...any) error {
+	return trace.Wrap(fmt.Errorf("%w: "+format, append([]any{ErrInvalid}, text...)...))
+}
+
 func clip(text []byte) []byte { return text[:min(len(text), maxQuoted)] }
