Take a request without a method for a GET, and simplify the host

Found by reading: net/http takes an empty method for GET, mttransport wrote none. No caller in the product sends such a request. Tests of the relay packages and lint pass.

--- a/internal/relay/mtlink/link.go
+++ b/internal/relay/mtlink/link.go
@@ -279,7 +279,7 @@
 	return err == nil && quiet
 }
 
-// quiet is usable for a connection without a socket of its own, such as one with TLS.
+// quiet reports the same of a connection without a socket of its own, such as one with TLS.
 func (l *Link) quiet() bool {
 	if l.conn.SetReadDeadline(time.Unix(1, 0)) != nil {
 		return false
--- a/internal/relay/mttransport/transport.go
+++ b/internal/relay/mttransport/transport.go
@@ -3,6 +3,7 @@
 package mttransport
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"io"
@@ -110,14 +111,12 @@
 // exchange sends a request over a connection and reads the head of its response.
 func (t *Transport) exchange(request *http.Request, body []byte, link *mtlink.Link) (*http.Response, error) {
 	stop := context.AfterFunc(request.Context(), link.Close)
-	host := request.Host
-	if host == "" {
-		host = request.URL.Host
-	}
-	err := link.Send(request.Method, request.URL.RequestURI(), host, outgoing(request), body)
+	host := cmp.Or(request.Host, request.URL.Host)
+	method := cmp.Or(request.Method, http.MethodGet)
+	err := link.Send(method, request.URL.RequestURI(), host, outgoing(request), body)
 	var response *http.Response
 	if err == nil {
-		response, err = link.Receive(request.Method, func(*http.Response) bool { return true })
+		response, err = link.Receive(method, func(*http.Response) bool { return true })
 	}
 	if err != nil {
 		stop()
