Read the object API's responses to operators' commands with the same reader

Found by looking for readers that are left: submit and the operators' commands used net/http's own transport.

--- a/internal/command/mttable/operator.go
+++ b/internal/command/mttable/operator.go
@@ -1,8 +1,6 @@
 package mttable
 
 import (
-	"net/http"
-
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/gravitational/trace"
 
@@ -45,6 +43,6 @@
 		}
 		network = network.Secured(keys.Server(), keys.Client())
 	}
-	client := mtplatform.New(f.platform, f.namespace, http.DefaultTransport)
+	client := mtplatform.New(f.platform, f.namespace, network.Outside())
 	return mtoperator.New(network, client, f.peers), nil
 }
--- a/internal/command/mttable/submit.go
+++ b/internal/command/mttable/submit.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"os/user"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/mustardtide/mustardtide/internal/command/mtfailure"
 	"github.com/mustardtide/mustardtide/internal/observe/mtcode"
 	"github.com/mustardtide/mustardtide/internal/outside/mtplatform"
+	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 	"github.com/mustardtide/mustardtide/internal/settings/mtcheck"
 	"github.com/mustardtide/mustardtide/internal/settings/mtmanifest"
 )
@@ -34,7 +34,7 @@
 }
 
 func (p platformFlags) client() *mtplatform.Client {
-	return mtplatform.New(*p.url, *p.namespace, http.DefaultTransport)
+	return mtplatform.New(*p.url, *p.namespace, mtnet.System().Outside())
 }
 
 // submission is one operator's submit.
