Ask for keys where a configuration's list of accounts is empty

Callers saw: the operators take the last account away, and from then on requests with its key, with an unknown key and with none run, on all routes.

Hypotheses: (a) the new configuration is not heard of; (b) it is, and an empty list is read as no list; (c) accounts of the former version stay. The log tells them apart: catalog-in-force has version 9 with accounts=0, and the three requests were sent under configuration 9 with no account: (b). It did not say whether keys were needed; it does now (keyed), as does the gauge keys_needed.

Cause: whether requests need a key was a list's length, which is 0 for an empty list and for none, after decoding and in every message that hands it on.

Change: a configuration says who may send requests (access), and keeps it where entries learn from each other. An empty list and null ("the configuration contains tenants") let nobody in. Without a list no key is needed, as before, unless the settings name the contract by which requests carry keys: there a missing list lets nobody in either, as what was refused can be asked again, and what ran for a stranger can't be undone. What an entry of an earlier build hands on without accounts is ambiguous; it is not put in force, so that an entry that knows nothing else answers 503.

--- a/internal/command/mttable/platform.go
+++ b/internal/command/mttable/platform.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
 	"github.com/mustardtide/mustardtide/platform/mtboot"
 	"github.com/mustardtide/mustardtide/platform/mtobjects"
 )
@@ -17,7 +18,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	fmt.Fprintf(out, "%s: valid: %s in %s, store %s\n", path, site.GetName(), site.GetDatacentre(), site.GetStore())
+	keys := "as the configuration says"
+	if site.GetKeyed() {
+		keys = "always"
+	}
+	fmt.Fprintf(out, "%s: valid: %s in %s, store %s, keys needed %s\n", path, site.GetName(), site.GetDatacentre(), site.GetStore(), keys)
 	return nil
 }
 
@@ -38,7 +43,19 @@
 	if len(faults) > 0 {
 		return trace.BadParameter("%s: %d faults; mend them before the configuration is written to the store", path, len(faults))
 	}
-	fmt.Fprintf(out, "%s: valid: version %d, %d routes, %d services, %d accounts\n",
-		path, catalog.GetVersion(), len(catalog.GetRoutes()), len(catalog.GetServices()), len(catalog.GetAccounts()))
+	fmt.Fprintf(out, "%s: valid: version %d, %d routes, %d services, %s\n",
+		path, catalog.GetVersion(), len(catalog.GetRoutes()), len(catalog.GetServices()), accountsText(catalog))
 	return nil
 }
+
+// accountsText says who may send requests by a configuration.
+func accountsText(catalog *fleetv1.Catalog) string {
+	switch {
+	case catalog.GetAccess() == fleetv1.Access_ACCESS_OPEN:
+		return "no list of accounts: no key is needed, unless the processes' settings ask for keys: then none is valid"
+	case len(catalog.GetAccounts()) == 0:
+		return "0 accounts: no key is valid, and only routes that are open serve requests"
+	default:
+		return fmt.Sprintf("%d accounts", len(catalog.GetAccounts()))
+	}
+}
--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -67,7 +67,7 @@
 	StoreLost:          {"store-lost", "the platform's store does not answer for a kind of objects; what is known stays in force"},
 	StoreBack:          {"store-back", "the platform's store answers again"},
 	CatalogInForce:     {"catalog-in-force", "a configuration is in force here"},
-	CatalogIgnored:     {"catalog-ignored", "a configuration was older than the one in force, or gone"},
+	CatalogIgnored:     {"catalog-ignored", "a configuration was older than the one in force, gone, or came from an entry that does not say whether requests need keys"},
 	TargetListed:       {"target-listed", "a target has an entry in the store"},
 	TargetsListed:      {"targets-listed", "the first complete list of targets is known, so many of each service"},
 	TargetLeaving:      {"target-leaving", "a target says that it leaves: it gets no more requests"},
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -347,6 +347,12 @@
 		}
 		return 0
 	})
+	set.Gauge("keys_needed", func() int64 {
+		if catalog := f.catalog.Load(); catalog != nil && f.keyed(catalog) {
+			return 1
+		}
+		return 0
+	})
 	set.Gauge("weights_named_age_ms", func() int64 { return f.board.NewestWeightsAge().Milliseconds() })
 }
 
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -181,13 +181,19 @@
 		return
 	}
 	catalog := mtcatalog.New(source)
+	if catalog.Ambiguous() && !f.site.GetKeyed() {
+		f.trail.Warn(mtkind.CatalogIgnored, zap.Int64("version", source.GetVersion()), zap.String("from", from),
+			zap.String("why", "it does not say whether requests need a key"))
+		return
+	}
 	f.catalog.Store(catalog)
 	f.board.SetRanked(catalog.Ranked())
 	f.admissions.configure(catalog)
 	f.catalogHeard.note(age)
 	f.histogram(`heard_seconds{kind="configuration"}`).Observe(age)
 	f.trail.Say(mtkind.CatalogInForce, zap.Int64("version", source.GetVersion()), zap.Int64("revision", source.GetRevision()),
-		zap.Int("routes", len(source.GetRoutes())), zap.Int("accounts", len(source.GetAccounts())), zap.String("from", from), zap.Duration("heard", age))
+		zap.Int("routes", len(source.GetRoutes())), zap.Int("accounts", len(source.GetAccounts())), zap.Bool("keyed", f.keyed(catalog)),
+		zap.String("from", from), zap.Duration("heard", age))
 	f.digest()
 	if old == nil {
 		f.hurry()
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -190,7 +190,7 @@
 		r.deny(http.StatusNotFound, "no route for this host and path", catalog)
 		return false
 	}
-	if catalog.Keyed() && !r.route.GetOpen() {
+	if r.front.keyed(catalog) && !r.route.GetOpen() {
 		r.account = catalog.Account(r.ask.GetKey())
 		if r.ask.GetKey() == "" || r.account == nil {
 			r.deny(http.StatusUnauthorized, "the key belongs to no client account", catalog)
@@ -202,6 +202,10 @@
 	return true
 }
 
+// keyed says that requests need a key by a configuration, or by the settings, which hold where a
+// configuration has no list of accounts.
+func (f *Front) keyed(catalog *mtcatalog.Catalog) bool { return f.site.GetKeyed() || catalog.Keyed() }
+
 // service is one of the configuration's, or one of which only the name is known.
 func (f *Front) service(name string) *fleetv1.Service {
 	if service := f.catalog.Load().Service(name); service != nil {
--- a/internal/routing/mtcatalog/catalog.go
+++ b/internal/routing/mtcatalog/catalog.go
@@ -89,8 +89,17 @@
 // Limited is the number of accounts that have a quota.
 func (c *Catalog) Limited() int { return c.limited }
 
-// Keyed says that requests need a key, unless their route is open.
-func (c *Catalog) Keyed() bool { return len(c.source.GetAccounts()) > 0 }
+// Keyed says that requests need a key, unless their route is open. An empty list of accounts lets
+// nobody in; only a configuration without a list needs no key.
+func (c *Catalog) Keyed() bool {
+	return c.source.GetAccess() == fleetv1.Access_ACCESS_KEYED || len(c.source.GetAccounts()) > 0
+}
+
+// Ambiguous says that the configuration does not tell whether requests need a key: entries of
+// earlier builds hand on an empty list of accounts as they do none.
+func (c *Catalog) Ambiguous() bool {
+	return c.source.GetAccess() == fleetv1.Access_ACCESS_UNKNOWN && !c.Keyed()
+}
 
 // Service returns a service, or nil.
 func (c *Catalog) Service(name string) *fleetv1.Service { return c.services[name] }
--- a/internal/routing/mtcatalog/catalog_test.go
+++ b/internal/routing/mtcatalog/catalog_test.go
@@ -50,6 +50,27 @@
 	g.Expect(mtcatalog.New(&fleetv1.Catalog{}).Cache("part")).To(BeEmpty())
 }
 
+// Guards against an empty list of accounts that is taken for none.
+func TestWhoNeedsKeys(t *testing.T) {
+	g := NewWithT(t)
+	some := []*fleetv1.Account{{Name: "school"}}
+	for _, c := range []struct {
+		access           fleetv1.Access
+		accounts         []*fleetv1.Account
+		keyed, ambiguous bool
+	}{
+		{fleetv1.Access_ACCESS_OPEN, nil, false, false},
+		{fleetv1.Access_ACCESS_OPEN, some, true, false},
+		{fleetv1.Access_ACCESS_KEYED, nil, true, false},
+		{fleetv1.Access_ACCESS_KEYED, some, true, false},
+		{fleetv1.Access_ACCESS_UNKNOWN, nil, false, true},
+		{fleetv1.Access_ACCESS_UNKNOWN, some, true, false},
+	} {
+		catalog := mtcatalog.New(&fleetv1.Catalog{Access: c.access, Accounts: c.accounts})
+		g.Expect([]bool{catalog.Keyed(), catalog.Ambiguous()}).To(Equal([]bool{c.keyed, c.ambiguous}), "%+v", c)
+	}
+}
+
 // Parts are spread over the stores of cached parts, and each belongs to one, whoever
 // asks and in whichever order the operators list the stores.
 func TestPartsBelongToOneStore(t *testing.T) {
