Compare and store configurations in one step, and follow one a request

The store's watch and what other entries tell each read the configuration in force, compared and stored in three steps: the older of two that come at once, if it is larger, came into force last, with the keys that the newer had taken away. And a request looked its route, service, limits and store of cached parts up in whichever version was in force at each step.

Change: a lock over the three steps; a request keeps the configuration that it came under.

--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -89,6 +89,8 @@
 	// limitTold is when a digest went out last for a new limit, as a time since begun.
 	limitTold atomic.Int64
 	catalog   atomic.Pointer[mtcatalog.Catalog]
+	// configuring is held while a configuration comes into force.
+	configuring sync.Mutex
 	// catalogHeard and targetsHeard are when the first entry of those through which they
 	// came has had them from the store.
 	catalogHeard heard
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -173,6 +173,8 @@
 // configure puts a configuration in force if it is newer. Its age is how long ago an entry
 // has had it from the store.
 func (f *Front) configure(source *fleetv1.Catalog, from string, age time.Duration) {
+	f.configuring.Lock()
+	defer f.configuring.Unlock()
 	old := f.catalog.Load()
 	if old != nil && (source.GetVersion() <= old.Version() || source.GetRevision() <= old.Revision()) {
 		if source.GetRevision() != old.Revision() {
--- a/internal/relay/mtfront/lookup.go
+++ b/internal/relay/mtfront/lookup.go
@@ -107,7 +107,7 @@
 	}
 	for _, share := range r.route.GetShares() {
 		if share.GetService() == origin.GetService() && share.GetWeight() > 0 {
-			r.service = r.front.service(origin.GetService())
+			r.service = serviceOf(r.catalog, origin.GetService())
 			return how
 		}
 	}
--- a/internal/relay/mtfront/receive.go
+++ b/internal/relay/mtfront/receive.go
@@ -53,7 +53,7 @@
 	case !whole:
 		r.rejectForMemory(mtreservation.ErrBroken)
 	case errors.Is(err, mtbody.ErrLarge), errors.Is(err, mtreservation.ErrLarge):
-		r.deny(http.StatusRequestEntityTooLarge, err.Error(), r.front.catalog.Load())
+		r.deny(http.StatusRequestEntityTooLarge, err.Error(), r.catalog)
 	case errors.Is(err, mtreservation.ErrFull):
 		r.rejectForMemory(err)
 	default:
@@ -88,8 +88,8 @@
 // bodyLimit is the greatest size of a body.
 func (r *request) bodyLimit() int64 {
 	limit := int64(defaultBody)
-	if catalog := r.front.catalog.Load(); catalog != nil && catalog.Limits().GetBody() > 0 {
-		limit = catalog.Limits().GetBody()
+	if most := r.catalog.Limits().GetBody(); most > 0 {
+		limit = most
 	}
 	return limit
 }
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -265,5 +265,5 @@
 		zap.Int64("weights", choice.Version()), zap.Duration("behind", choice.Behind()), zap.Int64("prompt", r.ask.GetPrompt()), zap.Int64("output", r.ask.GetOutput()),
 		zap.String("how", choice.CacheUse()), zap.Int64("cached", choice.Matched()), zap.String("fetch", choice.FetchFrom()),
 		zap.Duration("cost", choice.Cost()), zap.String("next", choice.RunnersUp()), zap.String("unfit", choice.Unfit()), zap.Bool("kept", link.Reused()), zap.String("backup", r.backupTarget()),
-		zap.Int64("configuration", r.front.catalog.Load().Version()))...)
+		zap.Int64("configuration", r.catalog.Version()))...)
 }
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -39,6 +39,8 @@
 	out     http.ResponseWriter
 	control *http.ResponseController
 	ask     *fleetv1.Ask
+	// catalog is the configuration that the request came under.
+	catalog *mtcatalog.Catalog
 	route   *fleetv1.Route
 	account *fleetv1.Account
 	service *fleetv1.Service
@@ -180,6 +182,7 @@
 // resolve finds route, account and service, or refuses.
 func (r *request) resolve() bool {
 	catalog := r.front.catalog.Load()
+	r.catalog = catalog
 	if catalog == nil {
 		r.reject("no configuration is known yet", mtreturn.RetryAfter(time.Since(r.front.begun)))
 		return false
@@ -197,7 +200,7 @@
 			return false
 		}
 	}
-	r.service = r.front.service(mtcatalog.Pick(r.route))
+	r.service = serviceOf(catalog, mtcatalog.Pick(r.route))
 	r.ranking = catalog.Ranking(r.service.GetName())
 	return true
 }
@@ -206,9 +209,9 @@
 // configuration has no list of accounts.
 func (f *Front) keyed(catalog *mtcatalog.Catalog) bool { return f.site.GetKeyed() || catalog.Keyed() }
 
-// service is one of the configuration's, or one of which only the name is known.
-func (f *Front) service(name string) *fleetv1.Service {
-	if service := f.catalog.Load().Service(name); service != nil {
+// serviceOf returns one of a configuration's services, or one of which only the name is known.
+func serviceOf(catalog *mtcatalog.Catalog, name string) *fleetv1.Service {
+	if service := catalog.Service(name); service != nil {
 		return service
 	}
 	return &fleetv1.Service{Name: name}
@@ -236,7 +239,7 @@
 	defer r.dropBackup(false)
 	allowance := r.front.allowance(r.service.GetName())
 	allowance.CountRequest()
-	r.query = mtboard.NewQuery(r.service, r.ask, r.account, r.front.catalog.Load().Cache(mtboard.HomePartID(r.ask)), r.route.GetAim().AsDuration())
+	r.query = mtboard.NewQuery(r.service, r.ask, r.account, r.catalog.Cache(mtboard.HomePartID(r.ask)), r.route.GetAim().AsDuration())
 	r.query.SetRank(r.urgency(), r.ranked())
 	if r.origin != nil {
 		r.query.Pin(r.origin.GetBuild())
