Refuse requests of routes that the configuration lets nothing serve

Callers saw: requests of a route with max_attempts 0, with one service of weight 0, or whose service has no entry, run all the same; prompts of a service without an entry are cached under no salt, where other accounts find them. Weights whose sum passes 2^31 ended the request in a panic.

--- a/internal/relay/mtfront/lookup.go
+++ b/internal/relay/mtfront/lookup.go
@@ -105,9 +105,10 @@
 	if origin.GetDisputed() {
 		return originDisputed
 	}
+	service := r.catalog.Service(origin.GetService())
 	for _, share := range r.route.GetShares() {
-		if share.GetService() == origin.GetService() && share.GetWeight() > 0 {
-			r.service = serviceOf(r.catalog, origin.GetService())
+		if service != nil && share.GetService() == service.GetName() && share.GetWeight() > 0 {
+			r.service = service
 			return how
 		}
 	}
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -200,7 +200,12 @@
 			return false
 		}
 	}
-	r.service = serviceOf(catalog, mtcatalog.Pick(r.route))
+	service, why := catalog.Serve(r.route)
+	if service == nil {
+		r.reject(why, unconfiguredAgain, zap.Int64("configuration", catalog.Version()))
+		return false
+	}
+	r.service = service
 	r.ranking = catalog.Ranking(r.service.GetName())
 	return true
 }
@@ -209,13 +214,9 @@
 // configuration has no list of accounts.
 func (f *Front) keyed(catalog *mtcatalog.Catalog) bool { return f.site.GetKeyed() || catalog.Keyed() }
 
-// serviceOf returns one of a configuration's services, or one of which only the name is known.
-func serviceOf(catalog *mtcatalog.Catalog, name string) *fleetv1.Service {
-	if service := catalog.Service(name); service != nil {
-		return service
-	}
-	return &fleetv1.Service{Name: name}
-}
+// unconfiguredAgain is when a caller should come back whose route no service serves: operators have
+// to change the configuration first.
+const unconfiguredAgain = 5 * time.Second
 
 // timeout is the least of what the caller and the route allow.
 func (r *request) timeout() time.Duration {
--- a/internal/routing/mtcatalog/catalog.go
+++ b/internal/routing/mtcatalog/catalog.go
@@ -158,22 +158,40 @@
 	return found
 }
 
-// Pick draws one of a route's services by its weight.
-func Pick(route *fleetv1.Route) string {
-	shares := route.GetShares()
-	if len(shares) == 1 {
-		return shares[0].GetService()
+// Serve returns the service for a request of a route, drawn by the services' weights, or why the
+// configuration lets none serve it. What it gives as none is none: no attempt, no weight, no entry
+// of the service, or no model on its engines.
+func (c *Catalog) Serve(route *fleetv1.Route) (service *fleetv1.Service, why string) {
+	if route.GetAttempts() <= 0 {
+		return nil, "the route allows no attempt"
+	}
+	name := Pick(route)
+	if name == "" {
+		return nil, "no service of the route has a weight above zero"
+	}
+	service = c.services[name]
+	switch {
+	case service == nil:
+		return nil, "the route's service is not in the configuration"
+	case service.GetModel() == "" && (service.GetSlots() > 0 || service.GetMemory() > 0):
+		return nil, "the engines of the route's service run no model"
+	default:
+		return service, ""
 	}
-	var total int32
-	for _, share := range shares {
-		total += max(0, share.GetWeight())
+}
+
+// Pick draws one of a route's services by its weight, "" if none has one above zero.
+func Pick(route *fleetv1.Route) string {
+	var total int64
+	for _, share := range route.GetShares() {
+		total += int64(max(0, share.GetWeight()))
 	}
 	if total == 0 {
 		return ""
 	}
-	drawn := rand.Int32N(total)
-	for _, share := range shares {
-		drawn -= max(0, share.GetWeight())
+	drawn := rand.Int64N(total)
+	for _, share := range route.GetShares() {
+		drawn -= int64(max(0, share.GetWeight()))
 		if drawn < 0 {
 			return share.GetService()
 		}
--- a/internal/routing/mtcatalog/catalog_test.go
+++ b/internal/routing/mtcatalog/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -50,6 +51,41 @@
 	g.Expect(mtcatalog.New(&fleetv1.Catalog{}).Cache("part")).To(BeEmpty())
 }
 
+// Guards against a configuration whose zeros and empty lists are read as no rule: such requests were
+// sent, and their prompts cached where other accounts find them.
+func TestRoutesThatNothingServes(t *testing.T) {
+	g := NewWithT(t)
+	c := mtcatalog.New(&fleetv1.Catalog{Services: []*fleetv1.Service{
+		{Name: "app"}, {Name: "pool", Model: "m", Slots: 8, Memory: 70_000}, {Name: "bare", Slots: 8}, {Name: "bare2", Memory: 70_000},
+	}})
+	for _, test := range []struct {
+		attempts int32
+		weights  map[string]int32
+		why      string
+	}{
+		{1, map[string]int32{"app": 1}, ""},
+		{1, map[string]int32{"pool": 1}, ""},
+		{1, map[string]int32{"app": math.MaxInt32, "pool": math.MaxInt32}, ""},
+		{0, map[string]int32{"app": 1}, "no attempt"},
+		{-1, map[string]int32{"app": 1}, "no attempt"},
+		{1, nil, "no service"},
+		{1, map[string]int32{"app": 0}, "no service"},
+		{1, map[string]int32{"app": -1}, "no service"},
+		{1, map[string]int32{"app": 0, "pool": 0}, "no service"},
+		{1, map[string]int32{"gone": 1}, "not in the configuration"},
+		{1, map[string]int32{"bare": 1}, "no model"},
+		{1, map[string]int32{"bare2": 1}, "no model"},
+	} {
+		route := &fleetv1.Route{Attempts: test.attempts}
+		for service, weight := range test.weights {
+			route.Shares = append(route.Shares, &fleetv1.Share{Service: service, Weight: weight})
+		}
+		service, why := c.Serve(route)
+		g.Expect(why).To(ContainSubstring(test.why), "%+v", test)
+		g.Expect(service == nil).To(Equal(test.why != ""), "%+v", test)
+	}
+}
+
 // Guards against an empty list of accounts that is taken for none.
 func TestWhoNeedsKeys(t *testing.T) {
 	g := NewWithT(t)
