Read the other accounts where one can't be read

Found beside the empty list. One account that can't be decoded (a text in place of its keys, a number as its name) kept the whole former version in force, and with it the keys that the new one takes away; the log said "gone or unreadable".

Change: accounts are decoded one by one. One that can't be read has no keys: which keys and which rules were meant for it is not known, and everybody else's are.

The postmortem of the empty list is docs/incidents/empty-list.md.

The tests of the decoder, the events and the settings page pass.

--- a/internal/observe/mtkind/fleet.go
+++ b/internal/observe/mtkind/fleet.go
@@ -53,6 +53,7 @@
 	ComponentAcquitted Kind = 7062
 	LevelChanged       Kind = 7063
 	ConnectionsClosed  Kind = 7064
+	AccountUnreadable  Kind = 7065
 	PromiseClaimed     Kind = 7080
 	PromiseMissed      Kind = 7081
 	RunContinued       Kind = 7070
@@ -102,6 +103,7 @@
 	ComponentAcquitted: {"component-acquitted", "a request with a banned component was answered: the ban is lifted, or holds for its other components"},
 	LevelChanged:       {"level-changed", "the admission level of a service has changed: how many of its classes of background work are admitted"},
 	ConnectionsClosed:  {"connections-closed", "callers' connections were closed, or found no room, since the last such line: crowded for want of room, head and idle for the configured times"},
+	AccountUnreadable:  {"account-unreadable", "an account of the configuration can't be read; requests with its keys are refused"},
 	PromiseClaimed:     {"promise-claimed", "a refused caller has returned in the window that it was promised: its request goes before new ones"},
 	PromiseMissed:      {"promise-missed", "a refused caller has returned in the window that it was promised, and is refused again: its request can't be answered before its deadline, or capacity was lost and the draw went against it"},
 	RunContinued:       {"run-continued", "an engine broke off a run, which goes on at the engine that keeps a copy of it"},
--- a/internal/relay/mtfront/front.go
+++ b/internal/relay/mtfront/front.go
@@ -355,6 +355,12 @@
 		}
 		return 0
 	})
+	set.Gauge("accounts_unreadable", func() int64 {
+		if catalog := f.catalog.Load(); catalog != nil {
+			return int64(len(catalog.Source().GetUnreadable()))
+		}
+		return 0
+	})
 	set.Gauge("weights_named_age_ms", func() int64 { return f.board.NewestWeightsAge().Milliseconds() })
 }
 
--- a/internal/relay/mtfront/know.go
+++ b/internal/relay/mtfront/know.go
@@ -196,6 +196,9 @@
 	f.trail.Say(mtkind.CatalogInForce, zap.Int64("version", source.GetVersion()), zap.Int64("revision", source.GetRevision()),
 		zap.Int("routes", len(source.GetRoutes())), zap.Int("accounts", len(source.GetAccounts())), zap.Bool("keyed", f.keyed(catalog)),
 		zap.String("from", from), zap.Duration("heard", age))
+	for _, account := range source.GetUnreadable() {
+		f.trail.Warn(mtkind.AccountUnreadable, zap.String("account", clip(account)), zap.Int64("version", source.GetVersion()))
+	}
 	f.digest()
 	if old == nil {
 		f.hurry()
