Leave the shared cached parts behind when an account becomes isolated

Callers saw nothing; operators did: an account becomes isolated, and requests of other accounts go on using the parts of prompts that its requests had cached before.

Hypotheses: (a) the isolated account's own requests keep the shared salt; (b) the others' do, under which its former parts lie; (c) fetches or the store of cached parts cross salts. The salts that the engines see tell them apart: after the configuration is in force the account's requests carry large@1@school and the others' still large@1, on all paths: (b).

Cause: the shared salt named model and weights only. Engines tell parts apart by their salts and not by who made them, so what an account shared before it became isolated stays within reach of all.

Change: where accounts are isolated, the others' salt carries a digest of the set of their names, and an isolated account's a digest of its name (mtpartition). It follows from the configuration alone, with no state to lose and no message; two accounts meet under a salt only if neither is isolated. An account that can't be read counts as isolated, one that is gone from the configuration shares nothing. Where nobody is isolated the salts are as before. Salts are read from the end, so that names, whatever their text, never make two of them equal.

Cost: each change of the set lets the others read their shared parts once more.

Tests of placement, routing and prefix pass.

--- a/internal/placement/mtboard/board_test.go
+++ b/internal/placement/mtboard/board_test.go
@@ -13,6 +13,7 @@
 	"github.com/mustardtide/mustardtide/internal/admission/mtlimiter"
 	"github.com/mustardtide/mustardtide/internal/placement/mtboard"
 	"github.com/mustardtide/mustardtide/internal/placement/mtnaming"
+	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
 )
 
 const gracePeriod = 8 * time.Second
@@ -44,7 +45,7 @@
 	for _, part := range parts {
 		ask.Parts = append(ask.Parts, &fleetv1.Part{Id: part, Tokens: prompt / int64(len(parts))})
 	}
-	return mtboard.NewQuery(pool, ask, nil, "store:1", 800*time.Millisecond)
+	return mtboard.NewQuery(pool, ask, "", "store:1", 800*time.Millisecond)
 }
 
 func state(target string, version int64) *fleetv1.State {
@@ -286,7 +287,8 @@
 	b := board(1)
 	ask := &fleetv1.Ask{Model: "m", Prompt: 100, Parts: []*fleetv1.Part{{Id: "p", Tokens: 100}}}
 	salt := func(account *fleetv1.Account) string {
-		return b.Choose(mtboard.NewQuery(pool, ask, account, "", 0)).Salt()
+		catalog := mtcatalog.New(&fleetv1.Catalog{Accounts: []*fleetv1.Account{account, {Name: "c"}}})
+		return b.Choose(mtboard.NewQuery(pool, ask, catalog.Partition(account), "", 0)).Salt()
 	}
 	shared := salt(&fleetv1.Account{Name: "a"})
 	g.Expect(salt(&fleetv1.Account{Name: "b"})).To(Equal(shared))
--- a/internal/placement/mtboard/choice.go
+++ b/internal/placement/mtboard/choice.go
@@ -1,7 +1,6 @@
 package mtboard
 
 import (
-	"strconv"
 	"time"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
@@ -347,5 +346,3 @@
 func (Failed) outcome()      {}
 func (Rejected) outcome()    {}
 func (Abandoned) outcome()   {}
-
-func itoa(n int64) string { return strconv.FormatInt(n, 10) }
--- a/internal/placement/mtboard/plain_test.go
+++ b/internal/placement/mtboard/plain_test.go
@@ -25,7 +25,7 @@
 			"b": {Id: "b", Service: "app", Address: "10.0.0.2:80", Datacentre: "north", Slots: 6},
 		}, func(*fleetv1.Target) bool { return false })
 		choose := func(excluded ...string) *mtboard.Choice {
-			q := mtboard.NewQuery(&fleetv1.Service{Name: "app"}, &fleetv1.Ask{}, nil, "", 100*time.Millisecond)
+			q := mtboard.NewQuery(&fleetv1.Service{Name: "app"}, &fleetv1.Ask{}, "", "", 100*time.Millisecond)
 			for _, id := range excluded {
 				q.Exclude(id)
 			}
--- a/internal/placement/mtboard/query.go
+++ b/internal/placement/mtboard/query.go
@@ -5,14 +5,16 @@
 	"time"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/prefix/mtpartition"
 )
 
 // Query describes what a request needs of a target.
 type Query struct {
-	service  *fleetv1.Service
-	ask      *fleetv1.Ask
-	account  *fleetv1.Account
-	excluded map[string]bool
+	service *fleetv1.Service
+	ask     *fleetv1.Ask
+	// partition is that of the request's cached parts.
+	partition string
+	excluded  map[string]bool
 	// withheld are the limited targets for which the request got no permit. skipLimited reports
 	// whether all limited targets are left out from now on.
 	withheld    map[string]bool
@@ -53,14 +55,14 @@
 	return nil
 }
 
-// NewQuery returns the query of a request of an account for a service; account may be nil. store
-// is the address of a store of cached parts, "" if there is none. aim is the route's, 0 if it
+// NewQuery returns the query of a request for a service whose cached parts belong to a partition.
+// store is the address of a store of cached parts, "" if there is none. aim is the route's, 0 if it
 // sets none.
-func NewQuery(service *fleetv1.Service, ask *fleetv1.Ask, account *fleetv1.Account, store string, aim time.Duration) *Query {
+func NewQuery(service *fleetv1.Service, ask *fleetv1.Ask, partition, store string, aim time.Duration) *Query {
 	if aim <= 0 {
 		aim = defaultAim
 	}
-	return &Query{service: service, ask: ask, account: account, excluded: map[string]bool{}, withheld: map[string]bool{}, store: store, aim: aim}
+	return &Query{service: service, ask: ask, partition: partition, excluded: map[string]bool{}, withheld: map[string]bool{}, store: store, aim: aim}
 }
 
 // Ask returns the caller's request.
@@ -136,12 +138,7 @@
 	return tokens
 }
 
-// salt returns a key that separates cached prompts of different models, weights and isolated
-// accounts.
+// salt returns a key that separates cached prompts of different models, weights and partitions.
 func (q *Query) salt(version int64) string {
-	salt := q.model() + "@" + itoa(version)
-	if q.account.GetIsolated() {
-		salt += "@" + q.account.GetName()
-	}
-	return salt
+	return mtpartition.Salt(q.model(), version, q.partition)
 }
--- a/internal/placement/mtboard/seek_test.go
+++ b/internal/placement/mtboard/seek_test.go
@@ -107,7 +107,7 @@
 	ask := &fleetv1.Ask{Model: "m", Prompt: 9000, Parts: []*fleetv1.Part{
 		{Id: "rules", Tokens: 2500}, {Id: "dossier", Tokens: 3700}, {Id: "own", Tokens: 2800},
 	}}
-	newQuery := func() *mtboard.Query { return mtboard.NewQuery(pool, ask, nil, "", 800*time.Millisecond) }
+	newQuery := func() *mtboard.Query { return mtboard.NewQuery(pool, ask, "", "", 800*time.Millisecond) }
 	g.Expect(board(20).Lookups(newQuery())).To(Equal(ask.GetParts()[1:2]))
 	b := board(40)
 	g.Expect(b.Lookups(newQuery())).To(ConsistOf(ask.GetParts()[0], ask.GetParts()[1]))
--- a/internal/placement/mtdirectory/directory_test.go
+++ b/internal/placement/mtdirectory/directory_test.go
@@ -112,7 +112,7 @@
 // prefilled although an engine of the fleet holds them.
 func (f *fleet) send(entry int, ask *fleetv1.Ask, directory bool) int64 {
 	b := f.boards[entry]
-	q := mtboard.NewQuery(pool, ask, nil, "", 800*time.Millisecond)
+	q := mtboard.NewQuery(pool, ask, "", "", 800*time.Millisecond)
 	if directory {
 		f.lookUp(b, q)
 	}
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -240,7 +240,7 @@
 	defer r.dropBackup(false)
 	allowance := r.front.allowance(r.service.GetName())
 	allowance.CountRequest()
-	r.query = mtboard.NewQuery(r.service, r.ask, r.account, r.catalog.Cache(mtboard.HomePartID(r.ask)), r.route.GetAim().AsDuration())
+	r.query = mtboard.NewQuery(r.service, r.ask, r.catalog.Partition(r.account), r.catalog.Cache(mtboard.HomePartID(r.ask)), r.route.GetAim().AsDuration())
 	r.query.SetRank(r.urgency(), r.ranked())
 	if r.origin != nil {
 		r.query.Pin(r.origin.GetBuild())
--- a/internal/routing/mtcatalog/catalog.go
+++ b/internal/routing/mtcatalog/catalog.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/xxh3"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/prefix/mtpartition"
 	"github.com/mustardtide/mustardtide/internal/routing/mtranking"
 )
 
@@ -26,6 +27,8 @@
 	limited int
 	// rankings are those of the services that rank their requests.
 	rankings map[string]*mtranking.Ranking
+	// partitions separate the cached prompts of isolated accounts.
+	partitions *mtpartition.Partitions
 }
 
 // New indexes a configuration, which must not be changed afterwards.
@@ -45,8 +48,13 @@
 			return len(b.GetPrefix()) - len(a.GetPrefix())
 		})
 	}
+	// Of an account that can't be read it is not known whether it is isolated.
+	isolated := slices.Clone(source.GetUnreadable())
 	for _, account := range source.GetAccounts() {
 		c.named[account.GetName()] = account
+		if account.GetIsolated() {
+			isolated = append(isolated, account.GetName())
+		}
 		if account.GetRate() > 0 {
 			c.limited++
 		}
@@ -57,6 +65,7 @@
 	for _, service := range source.GetServices() {
 		c.services[service.GetName()] = service
 	}
+	c.partitions = mtpartition.New(isolated)
 	c.rankings = c.rank()
 	return c
 }
@@ -86,6 +95,19 @@
 // AccountNamed returns an account by its name, or nil.
 func (c *Catalog) AccountNamed(name string) *fleetv1.Account { return c.named[name] }
 
+// Partition returns the partition of the cached prompts of an account's requests; nil for requests
+// that need no account. An account that the configuration no longer has shares none.
+func (c *Catalog) Partition(account *fleetv1.Account) string {
+	switch {
+	case account == nil:
+		return c.partitions.Shared()
+	case c.named[account.GetName()] == nil:
+		return mtpartition.Own(account.GetName())
+	default:
+		return c.partitions.Of(account.GetName())
+	}
+}
+
 // Limited is the number of accounts that have a quota.
 func (c *Catalog) Limited() int { return c.limited }
 
--- a/internal/routing/mtcatalog/catalog_test.go
+++ b/internal/routing/mtcatalog/catalog_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	fleetv1 "github.com/mustardtide/mustardtide/gen/mustardtide/fleet/v1"
+	"github.com/mustardtide/mustardtide/internal/prefix/mtpartition"
 	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
 )
 
@@ -86,6 +87,23 @@
 	}
 }
 
+// Guards against accounts that can't be read, or are gone while a request of theirs is under way, and
+// share cached prompts though they may be isolated.
+func TestPartitions(t *testing.T) {
+	g := NewWithT(t)
+	school, town := &fleetv1.Account{Name: "school", Isolated: true}, &fleetv1.Account{Name: "town"}
+	c := mtcatalog.New(&fleetv1.Catalog{Accounts: []*fleetv1.Account{school, town, {}}})
+	g.Expect(c.Partition(school)).To(Equal(mtpartition.Own("school")))
+	g.Expect(c.Partition(town)).To(Equal(c.Partition(nil)))
+	g.Expect(c.Partition(town)).NotTo(BeEmpty())
+	g.Expect(c.Partition(&fleetv1.Account{Name: "gone"})).To(Equal(mtpartition.Own("gone")))
+	unreadable := mtcatalog.New(&fleetv1.Catalog{Accounts: []*fleetv1.Account{town}, Unreadable: []string{"school"}})
+	g.Expect(unreadable.Partition(town)).To(Equal(c.Partition(town)))
+	open := mtcatalog.New(&fleetv1.Catalog{Accounts: []*fleetv1.Account{town}})
+	g.Expect(open.Partition(town)).To(BeEmpty())
+	g.Expect(open.Partition(nil)).To(BeEmpty())
+}
+
 // Guards against an empty list of accounts that is taken for none.
 func TestWhoNeedsKeys(t *testing.T) {
 	g := NewWithT(t)
