Ask for a request's cache partition when it is sent

A request of an account waits at an engine, or for a connection, while an account becomes isolated; it is sent, or sent again elsewhere, under the salt of before, and finds the other's parts. A run that breaks off after the change goes on at its copy under that salt, and the engine completes it from there.

Cause: the salt was made when the query was, from the configuration of that moment.

Change: before each choice the query moves to the partition of the configuration in force, and forgets the holders that were looked up in the former; between the choice and the send it is compared again, and the request chooses anew if it has moved. No target is left out and no repeat spent for that. A run does not go on at its copy then; one that may be repeated begins anew where it was.

What remains: a request that is in an engine's queue runs under the salt with which it was sent, and copies are resumed by the id of their run alone.

--- a/internal/placement/mtboard/query.go
+++ b/internal/placement/mtboard/query.go
@@ -65,6 +65,9 @@
 	return &Query{service: service, ask: ask, partition: partition, excluded: map[string]bool{}, withheld: map[string]bool{}, store: store, aim: aim}
 }
 
+// Partition returns the partition of the request's cached parts.
+func (q *Query) Partition() string { return q.partition }
+
 // Ask returns the caller's request.
 func (q *Query) Ask() *fleetv1.Ask { return q.ask }
 
--- a/internal/placement/mtboard/seek.go
+++ b/internal/placement/mtboard/seek.go
@@ -149,6 +149,18 @@
 	return salts
 }
 
+// SetPartition moves a request to another partition of cached parts, in which nothing has been looked
+// up yet.
+func (b *Board) SetPartition(q *Query, partition string) {
+	if q.partition == partition {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	q.partition = partition
+	q.lookups, q.fullHolders, q.prefixHolders = nil, nil, nil
+}
+
 // AddHolders records the holders found for a part of the prompt; they hold the parts before it
 // too.
 func (b *Board) AddHolders(q *Query, part *fleetv1.Part, holders []*fleetv1.Holder) {
--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -28,6 +28,8 @@
 	withheld bool
 	// banned says that requests like it are refused.
 	banned bool
+	// moved says that the request's cached parts belong to another partition since the choice.
+	moved bool
 }
 
 // broken is a send that may have run and brought no whole answer.
@@ -129,6 +131,10 @@
 		choice.End(mtboard.Abandoned{})
 		r.unreached++
 		return nil, rejected{why: "it wants no more requests since it was chosen", unreached: true}
+	case r.partition() != r.query.Partition():
+		link.Release(0)
+		choice.End(mtboard.Abandoned{})
+		return nil, rejected{why: "which accounts are isolated has changed since it was chosen", moved: true}
 	default:
 		if ban := r.ban(); ban != nil {
 			link.Release(0)
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -240,7 +240,7 @@
 	defer r.dropBackup(false)
 	allowance := r.front.allowance(r.service.GetName())
 	allowance.CountRequest()
-	r.query = mtboard.NewQuery(r.service, r.ask, r.catalog.Partition(r.account), r.catalog.Cache(mtboard.HomePartID(r.ask)), r.route.GetAim().AsDuration())
+	r.query = mtboard.NewQuery(r.service, r.ask, r.partition(), r.catalog.Cache(mtboard.HomePartID(r.ask)), r.route.GetAim().AsDuration())
 	r.query.SetRank(r.urgency(), r.ranked())
 	if r.origin != nil {
 		r.query.Pin(r.origin.GetBuild())
@@ -259,6 +259,7 @@
 			last = rejected{why: bannedText, banned: true}
 			break
 		}
+		r.front.board.SetPartition(r.query, r.partition())
 		r.front.consult(ctx, r.query)
 		choice := r.front.board.Choose(r.query)
 		if choice == nil {
@@ -279,13 +280,21 @@
 	r.end(last)
 }
 
-// leaveOut keeps the target out of the request's later choices.
+// partition is that of the request's cached parts by the configuration in force now: an account may
+// become isolated while a request waits, its own or another's.
+func (r *request) partition() string { return r.front.catalog.Load().Partition(r.account) }
+
+// leaveOut keeps the target out of the request's later choices, unless it was not the target's doing
+// that nothing was sent.
 func (r *request) leaveOut(choice *mtboard.Choice, last result) {
-	if l, ok := last.(rejected); ok && l.withheld {
+	l, ok := last.(rejected)
+	switch {
+	case ok && l.moved:
+	case ok && l.withheld:
 		r.query.Withhold(choice.Target())
-		return
+	default:
+		r.query.Exclude(choice.Target())
 	}
-	r.query.Exclude(choice.Target())
 }
 
 // mayTry says whether another target may get the request.
--- a/internal/standin/mtwire/wire.go
+++ b/internal/standin/mtwire/wire.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/mustardtide/mustardtide/internal/role/mtnet"
 )
@@ -28,7 +29,9 @@
 	listeners map[string]*listener
 	pairs     map[string][]*pair
 	down      map[string]bool
-	gates     map[string]*gate
+	// delays are how long dials take.
+	delays map[route]time.Duration
+	gates  map[string]*gate
 	// parted are the routes that lead nowhere, each with a channel that is closed when it
 	// is mended.
 	parted map[route]chan struct{}
@@ -40,7 +43,7 @@
 // New returns a network without listeners.
 func New() *Wire {
 	return &Wire{
-		listeners: map[string]*listener{}, pairs: map[string][]*pair{}, down: map[string]bool{}, gates: map[string]*gate{},
+		listeners: map[string]*listener{}, pairs: map[string][]*pair{}, down: map[string]bool{}, delays: map[route]time.Duration{}, gates: map[string]*gate{},
 		parted: map[route]chan struct{}{},
 	}
 }
@@ -75,8 +78,15 @@
 	client, server := w.gate(party), w.gate(address)
 	w.mu.Lock()
 	l := w.listeners[address]
-	down, parted := w.down[address], w.parted[route{party, address}]
+	down, parted, delay := w.down[address], w.parted[route{party, address}], w.delays[route{party, address}]
 	w.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	if parted != nil {
 		select {
 		case <-parted:
@@ -155,6 +165,13 @@
 	}
 }
 
+// Delay lets the dials of a party that NetOf names to an address take a time.
+func (w *Wire) Delay(party, address string, delay time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.delays[route{party, address}] = delay
+}
+
 // Down makes dials to an address fail, or work again.
 func (w *Wire) Down(address string, down bool) {
 	w.mu.Lock()
