Do not take a part for a whole answer when an upload times out

A target answers a long upload with a success without a length, sends a part of the body and takes no more of the upload; after 1.5 s the system gives the connection up. The caller got the part as a whole answer.

Cause: a system reports the failure of a connection once, to the writer or to the reader; the other meets an ordinary end. Only a reset that the writer was told of counted as a failure, not a time-out (ETIMEDOUT) or a lost path.

Change: any error of the writer makes the end a failure, but EPIPE, which says that the target had ended its side in order.

--- a/internal/relay/mtlink/upload.go
+++ b/internal/relay/mtlink/upload.go
@@ -37,10 +37,10 @@
 	}
 }
 
-// endOfStream tells the end of a connection from a reset that its reader was not told of, and returns
-// io.EOF or the reset. A system reports a reset once, to the writer or to the reader; the other one
-// meets an ordinary end. A target that ended its side in order and was reset by what it was still
-// sent has sent its whole response: the writer gets EPIPE.
+// endOfStream tells the end of a connection from a failure that its reader was not told of, and returns
+// io.EOF or the failure. A system reports a failure, a reset or a time-out, once, to the writer or to
+// the reader; the other one meets an ordinary end. A target that ended its side in order and was reset
+// by what it was still sent has sent its whole response: the writer gets EPIPE.
 func (l *Link) endOfStream() error {
 	if l.upload == nil {
 		return io.EOF
@@ -51,10 +51,10 @@
 		<-l.upload.done
 		err = l.upload.err
 	}
-	if errors.Is(err, syscall.ECONNRESET) {
-		return err
+	if err == nil || errors.Is(err, syscall.EPIPE) {
+		return io.EOF
 	}
-	return io.EOF
+	return err
 }
 
 // stateClose is that of a connection that has ended in both directions, TCP_CLOSE in Linux.
