--- a/internal/prefix/mtpartition/partitions.go
+++ b/internal/prefix/mtpartition/partitions.go
@@ -27,8 +27,9 @@
 
 // Partitions are those of one configuration. They do not change.
 type Partitions struct {
-	isolated map[string]bool
-	shared   string
+	// own are the partitions of the isolated accounts by their names.
+	own    map[string]string
+	shared string
 }
 
 // New returns the partitions where the accounts of some names are isolated. The order of the names
@@ -37,9 +38,9 @@
 	names := slices.Clone(isolated)
 	slices.Sort(names)
 	names = slices.Compact(names)
-	p := &Partitions{isolated: make(map[string]bool, len(names))}
+	p := &Partitions{own: make(map[string]string, len(names))}
 	for _, name := range names {
-		p.isolated[name] = true
+		p.own[name] = Own(name)
 	}
 	if len(names) > 0 {
 		p.shared = sharedMark + digest(names...)
@@ -52,8 +53,8 @@
 
 // Of returns the partition of an account: its own if it is isolated.
 func (p *Partitions) Of(account string) string {
-	if p.isolated[account] {
-		return Own(account)
+	if own, isolated := p.own[account]; isolated {
+		return own
 	}
 	return p.shared
 }
