--- a/internal/relay/mtfront/send.go
+++ b/internal/relay/mtfront/send.go
@@ -131,7 +131,7 @@
 		choice.End(mtboard.Abandoned{})
 		r.unreached++
 		return nil, rejected{why: "it wants no more requests since it was chosen", unreached: true}
-	case r.partition() != r.query.Partition():
+	case choice.Salt() != "" && r.partition() != r.query.Partition():
 		link.Release(0)
 		choice.End(mtboard.Abandoned{})
 		return nil, rejected{why: "which accounts are isolated has changed since it was chosen", moved: true}
