--- a/internal/request/mtculprit/model_test.go
+++ b/internal/request/mtculprit/model_test.go
@@ -138,6 +138,16 @@
 	})
 }
 
+// Failure: connections break while a part rarely crashes engines, few requests come, and more than a
+// tenth of the sound ones are refused. Drawn by rapid.
+func TestRareCrashesBesideResets(t *testing.T) {
+	expectContained(t, plan{
+		seed: 1471, entries: 9, engines: 20, rate: 15.88330078125, chains: 6, deadly: 1086 * time.Millisecond, place: 2,
+		slow: 99 * time.Millisecond, loss: 6.676476913554535e-215, resets: 2, crashes: 0.004179961401338694, racks: 6.503377810646986e-17,
+		duration: 27 * time.Second,
+	})
+}
+
 // Guards against trials of a ban that begin anew as all entries restart. Drawn by rapid.
 func TestTrialsOutlastARestart(t *testing.T) {
 	expectContained(t, plan{
