--- a/internal/relay/mtfront/receive.go
+++ b/internal/relay/mtfront/receive.go
@@ -53,7 +53,7 @@
 	case !whole:
 		r.rejectForMemory(mtreservation.ErrBroken)
 	case errors.Is(err, mtbody.ErrLarge), errors.Is(err, mtreservation.ErrLarge):
-		r.deny(http.StatusRequestEntityTooLarge, err.Error(), r.catalog)
+		r.deny(http.StatusRequestEntityTooLarge, err.Error())
 	case errors.Is(err, mtreservation.ErrFull):
 		r.rejectForMemory(err)
 	default:
--- a/internal/relay/mtfront/refuse.go
+++ b/internal/relay/mtfront/refuse.go
@@ -10,7 +10,6 @@
 
 	"github.com/mustardtide/mustardtide/internal/observe/mtkind"
 	"github.com/mustardtide/mustardtide/internal/role/mtserver"
-	"github.com/mustardtide/mustardtide/internal/routing/mtcatalog"
 	"github.com/mustardtide/mustardtide/platform/mtspeech"
 )
 
@@ -73,9 +72,9 @@
 }
 
 // deny refuses a request that the configuration does not allow.
-func (r *request) deny(status int, why string, catalog *mtcatalog.Catalog) {
+func (r *request) deny(status int, why string) {
 	r.front.trail.Warn(mtkind.RequestRejected, append(r.fields(), zap.String("why", why), zap.Int("status", status),
-		zap.Int64("configuration", catalog.Version()), zap.String("host", clip(r.in.Host)), zap.String("path", clip(r.in.URL.Path)))...)
+		zap.Int64("configuration", r.catalog.Version()), zap.String("host", clip(r.in.Host)), zap.String("path", clip(r.in.URL.Path)))...)
 	r.write(status, why)
 }
 
--- a/internal/relay/mtfront/serve.go
+++ b/internal/relay/mtfront/serve.go
@@ -190,13 +190,13 @@
 	path, _, _ := strings.Cut(r.uri, "?")
 	r.route = catalog.Route(r.in.Host, path)
 	if r.route == nil {
-		r.deny(http.StatusNotFound, "no route for this host and path", catalog)
+		r.deny(http.StatusNotFound, "no route for this host and path")
 		return false
 	}
 	if r.front.keyed(catalog) && !r.route.GetOpen() {
 		r.account = catalog.Account(r.ask.GetKey())
 		if r.ask.GetKey() == "" || r.account == nil {
-			r.deny(http.StatusUnauthorized, "the key belongs to no client account", catalog)
+			r.deny(http.StatusUnauthorized, "the key belongs to no client account")
 			return false
 		}
 	}
--- a/internal/role/mtnet/internal_test.go
+++ b/internal/role/mtnet/internal_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -27,7 +28,7 @@
 	}
 	defer conn.Close()
 	preface := make([]byte, len(http2.ClientPreface))
-	if _, err := conn.Read(preface); err != nil {
+	if _, err := io.ReadFull(conn, preface); err != nil {
 		return
 	}
 	framer := http2.NewFramer(conn, conn)
--- a/internal/routing/mtcatalog/catalog.go
+++ b/internal/routing/mtcatalog/catalog.go
@@ -195,13 +195,18 @@
 	switch {
 	case service == nil:
 		return nil, "the route's service is not in the configuration"
-	case service.GetModel() == "" && (service.GetSlots() > 0 || service.GetMemory() > 0):
+	case LacksModel(service):
 		return nil, "the engines of the route's service run no model"
 	default:
 		return service, ""
 	}
 }
 
+// LacksModel reports whether a service has engines that run no model.
+func LacksModel(service *fleetv1.Service) bool {
+	return service.GetModel() == "" && (service.GetSlots() > 0 || service.GetMemory() > 0)
+}
+
 // Pick draws one of a route's services by its weight, "" if none has one above zero.
 func Pick(route *fleetv1.Route) string {
 	var total int64
